--- /dev/null
+++ b/src/goldcrestcleat/admission/Quarantine.cpp
@@ -0,0 +1,68 @@
+#include "goldcrestcleat/admission/Quarantine.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace goldcrestcleat::admission {
+
+Fingerprint fingerprintOf(const std::string& workspace, const std::string& body)
+{
+    const auto seed = XXH3_64bits(workspace.data(), workspace.size());
+    return XXH3_64bits_withSeed(body.data(), body.size(), seed);
+}
+
+bool Quarantine::record(const Suspicion& suspicion, loop::TimeMs now)
+{
+    if (entries_.size() >= MAX_ENTRIES && entries_.count(suspicion.fingerprint) == 0)
+        dropOldest();
+    Entry& entry = entries_[suspicion.fingerprint];
+    if (now - entry.lastAt > MEMORY_MS)
+        entry.crashes.clear();
+    const bool known = std::find(entry.crashes.begin(), entry.crashes.end(), suspicion.crashId) != entry.crashes.end();
+    if (known)
+        return false;
+    entry.crashes.push_back(suspicion.crashId);
+    entry.lastAt = now;
+    assert(entries_.size() <= MAX_ENTRIES);
+    return true;
+}
+
+bool Quarantine::isSuspect(Fingerprint fingerprint, loop::TimeMs now) const
+{
+    return fresh(fingerprint, now) != nullptr;
+}
+
+bool Quarantine::isBanned(Fingerprint fingerprint, loop::TimeMs now) const
+{
+    const Entry* entry = fresh(fingerprint, now);
+    return entry && entry->crashes.size() >= CRASHES_TO_BAN;
+}
+
+std::vector<Suspicion> Quarantine::current(loop::TimeMs now) const
+{
+    std::vector<Suspicion> all;
+    for (const auto& [fingerprint, entry] : entries_) {
+        if (now - entry.lastAt > MEMORY_MS)
+            continue;
+        for (const auto crash : entry.crashes)
+            all.push_back({ fingerprint, crash });
+    }
+    return all;
+}
+
+const Quarantine::Entry* Quarantine::fresh(Fingerprint fingerprint, loop::TimeMs now) const
+{
+    const auto entry = entries_.find(fingerprint);
+    const bool counts = entry != entries_.end() && now - entry->second.lastAt <= MEMORY_MS;
+    return counts ? &entry->second : nullptr;
+}
+
+void Quarantine::dropOldest()
+{
+    const auto older = [](const auto& a, const auto& b) { return a.second.lastAt < b.second.lastAt; };
+    entries_.erase(std::min_element(entries_.begin(), entries_.end(), older));
+}
+
+} // namespace goldcrestcleat::admission
--- /dev/null
+++ b/src/goldcrestcleat/admission/Quarantine.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "goldcrestcleat/loop/EventLoop.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace goldcrestcleat::admission {
+
+/// 64-bit hash of a workspace and a request body.
+using Fingerprint = std::uint64_t;
+
+Fingerprint fingerprintOf(const std::string& workspace, const std::string& body);
+
+/// A crash of one upstream run that a request was part of.
+struct Suspicion {
+    Fingerprint fingerprint = 0;
+    std::uint64_t crashId = 0; ///< hash of the upstream and the run that ended
+
+    friend bool operator==(const Suspicion& a, const Suspicion& b)
+    {
+        return a.fingerprint == b.fingerprint && a.crashId == b.crashId;
+    }
+};
+
+/// Counts the crashes that requests took part in; two of them ban a request for a time.
+class Quarantine {
+public:
+    static constexpr std::size_t CRASHES_TO_BAN = 2;
+    static constexpr loop::TimeMs MEMORY_MS = 600'000;
+    static constexpr std::size_t MAX_ENTRIES = 10'000;
+
+    /// Records a crash; returns false when it was known. Complexity: O(1) unless the table is full.
+    bool record(const Suspicion& suspicion, loop::TimeMs now);
+
+    /// A suspect took part in a crash lately and runs with no other suspect beside it.
+    bool isSuspect(Fingerprint fingerprint, loop::TimeMs now) const;
+
+    bool isBanned(Fingerprint fingerprint, loop::TimeMs now) const;
+
+    /// Returns all suspicions that still count.
+    std::vector<Suspicion> current(loop::TimeMs now) const;
+
+private:
+    struct Entry {
+        std::vector<std::uint64_t> crashes;
+        loop::TimeMs lastAt = 0;
+    };
+
+    const Entry* fresh(Fingerprint fingerprint, loop::TimeMs now) const;
+    void dropOldest();
+
+    std::unordered_map<Fingerprint, Entry> entries_;
+};
+
+} // namespace goldcrestcleat::admission
--- /dev/null
+++ b/src/goldcrestcleat/cli/Commands.cpp
@@ -0,0 +1,104 @@
+#include "goldcrestcleat/cli/Commands.h"
+
+#include "goldcrestcleat/Daemon.h"
+#include "goldcrestcleat/cli/OperatorCommands.h"
+
+#include <absl/flags/flag.h>
+
+#include <csignal>
+#include <iostream>
+#include <map>
+
+ABSL_FLAG(std::string, config, "", "settings file (JSON) of serve and check-config");
+
+namespace goldcrestcleat::cli {
+
+namespace {
+
+    constexpr const char* VERSION = "0.1.0";
+
+    Daemon* runningDaemon = nullptr; // for the signal handler
+
+    void onStopSignal(int) { runningDaemon->requestStop(); }
+
+    int serve()
+    {
+        Daemon daemon(settings::loadSettings(absl::GetFlag(FLAGS_config)));
+        runningDaemon = &daemon;
+        std::signal(SIGTERM, onStopSignal);
+        std::signal(SIGINT, onStopSignal);
+        std::signal(SIGPIPE, SIG_IGN);
+        return daemon.run();
+    }
+
+    int checkConfig()
+    {
+        settings::loadSettings(absl::GetFlag(FLAGS_config));
+        std::cout << "settings are valid\n";
+        return ExitCode::Success;
+    }
+
+    const std::map<std::string, std::string>& helpTexts()
+    {
+        static const std::map<std::string, std::string> texts = {
+            { "serve", "serve --config FILE\n  Runs the daemon of one entry VM. SIGTERM begins a planned stop.\n" },
+            { "check-config",
+                "check-config --config FILE\n  Checks a settings file and prints every fault with its number and JSON "
+                "pointer.\n" },
+            { "version", "version\n  Prints the version.\n" },
+            { "profile",
+                "profile publish --file FILE [--expect VERSION] [--change-id ID] [--dry-run]\nprofile show "
+                "NAME\nprofile list\nprofile history NAME\n" },
+            { "upstream",
+                "upstream retire ID [--change-id ID]\nupstream restore ID [--change-id ID]\nupstream list\n" },
+            { "stop",
+                "stop plan VM [--change-id ID]\nstop cancel VM [--change-id ID]\nstop status\n  A planned stop leaves "
+                "the entry lists, serves until every answer is whole and exits.\n" },
+            { "status", "status [--json]\n  Shows daemons, upstreams, loads and how fresh each view is.\n" },
+            { "audit", "audit [--after NUMBER]\n  Shows who changed what, and when.\n" },
+            { "explain", "explain --request ID | --chat ID\n  Shows why a request ran where it ran.\n" },
+        };
+        return texts;
+    }
+
+} // namespace
+
+std::string helpText(const std::string& subcommand)
+{
+    const auto found = helpTexts().find(subcommand);
+    if (found != helpTexts().end())
+        return "goldcrestcleat " + found->second;
+    std::string text = "goldcrestcleat SUBCOMMAND [FLAGS]\n\n";
+    for (const auto& [name, help] : helpTexts())
+        text += help;
+    text += "\nOperators' subcommands take --admin IP:PORT and --token-file FILE.\n"
+            "Exit codes: 0 done, 1 failed, 2 bad usage, 3 bad settings, 4 refused, 5 no daemon answered.\n";
+    return text;
+}
+
+int runCommand(const std::vector<std::string>& arguments)
+{
+    const std::string name = arguments.empty() ? "" : arguments.front();
+    try {
+        if (name == "serve")
+            return serve();
+        if (name == "check-config")
+            return checkConfig();
+        if (name == "version") {
+            std::cout << "goldcrestcleat " << VERSION << "\n";
+            return ExitCode::Success;
+        }
+        if (helpTexts().count(name) > 0)
+            return runOperatorCommand(arguments);
+        std::cerr << helpText("");
+        return ExitCode::BadUsage;
+    } catch (const errors::SettingsError& e) {
+        std::cerr << e.what() << "\n";
+        return ExitCode::BadSettings;
+    } catch (const errors::Error& e) {
+        std::cerr << e.what() << "\n";
+        return ExitCode::Failed;
+    }
+}
+
+} // namespace goldcrestcleat::cli
--- /dev/null
+++ b/src/goldcrestcleat/fleet/PeerLinks.cpp
@@ -0,0 +1,288 @@
+#include "goldcrestcleat/fleet/PeerLinks.h"
+
+#include "goldcrestcleat/observe/Digest.h"
+
+#include <algorithm>
+
+namespace goldcrestcleat::fleet {
+
+using routing::NodeKey;
+
+namespace {
+
+    constexpr loop::TimeMs DIAL_PERIOD_MS = 500;
+    constexpr loop::TimeMs SILENCE_CHECK_MS = 200;
+    constexpr loop::TimeMs PROOF_TIMEOUT_MS = 2'000;
+    constexpr std::size_t NONCE_BYTES = 16;
+    constexpr std::size_t MAX_UNPROVED_LINKS = 64;
+    constexpr std::size_t MAX_BACKLOG_BYTES = 4 * 1024 * 1024; // a peer this far behind is cut off
+
+} // namespace
+
+PeerLinks::PeerLinks(loop::EventLoop& loop, const settings::Settings& settings, Hooks hooks)
+    : loop_(loop)
+    , settings_(settings)
+    , hooks_(std::move(hooks))
+{
+    for (const auto& vm : settings.entryVms) {
+        if (vm.id == settings.self.id)
+            continue;
+        Peer peer;
+        peer.key = routing::nodeKey(vm.id);
+        peer.vm = vm;
+        peers_[peer.key] = peer;
+    }
+}
+
+PeerLinks::~PeerLinks() = default;
+
+void PeerLinks::start()
+{
+    listener_ = std::make_unique<loop::Listener>(
+        loop_, settings_.self.peer, [this](const Poco::Net::StreamSocket& socket) { onAccept(socket); });
+    dialMissing();
+    loop_.every(DIAL_PERIOD_MS, [this] { dialMissing(); });
+    loop_.every(SILENCE_CHECK_MS, [this] { dropSilent(); });
+}
+
+bool PeerLinks::send(NodeKey peer, const PeerMessage& message)
+{
+    const auto link = links_.find(peer);
+    if (link == links_.end() || !link->second->proved)
+        return false;
+    sendOn(link->second, message);
+    return true;
+}
+
+void PeerLinks::broadcast(const PeerMessage& message)
+{
+    for (const auto& [key, peer] : peers_)
+        send(key, message);
+}
+
+void PeerLinks::dropAll(const std::string& reason)
+{
+    const auto links = links_;
+    for (const auto& [key, link] : links)
+        drop(link, reason);
+}
+
+std::vector<const Peer*> PeerLinks::peers() const
+{
+    std::vector<const Peer*> all;
+    for (const auto& [key, peer] : peers_)
+        all.push_back(&peer);
+    return all;
+}
+
+const Peer* PeerLinks::find(NodeKey key) const
+{
+    const auto found = peers_.find(key);
+    return found == peers_.end() ? nullptr : &found->second;
+}
+
+void PeerLinks::setPeerState(NodeKey key, bool isReady, bool isLeaving, std::uint32_t configDigest)
+{
+    const auto found = peers_.find(key);
+    if (found == peers_.end())
+        return;
+    found->second.isReady = isReady;
+    found->second.isLeaving = isLeaving;
+    found->second.configDigest = configDigest;
+}
+
+std::uint64_t PeerLinks::rawBytes() const
+{
+    std::uint64_t total = closedBytes_;
+    for (const auto& [key, link] : links_)
+        total += link->socket->bytesIn() + link->socket->bytesOut();
+    return total;
+}
+
+// ---- private: opening ----
+
+void PeerLinks::onAccept(const Poco::Net::StreamSocket& socket)
+{
+    if (unproved_.size() >= MAX_UNPROVED_LINKS)
+        return;
+    const auto link = std::make_shared<Link>();
+    link->openedAt = link->lastHeardAt = loop_.now();
+    unproved_.push_back(link);
+    link->socket = PeerSocket::accept(loop_, socket, socketHooks(link));
+}
+
+void PeerLinks::dialMissing()
+{
+    for (auto& [key, peer] : peers_) {
+        if (settings_.self.id < peer.vm.id && links_.count(key) == 0)
+            dial(peer);
+    }
+}
+
+void PeerLinks::dial(Peer& peer)
+{
+    const auto link = std::make_shared<Link>();
+    link->peerId = peer.vm.id;
+    link->openedAt = link->lastHeardAt = loop_.now();
+    links_[peer.key] = link;
+    link->socket = PeerSocket::dial(loop_, peer.vm.peer, socketHooks(link));
+}
+
+PeerSocket::Hooks PeerLinks::socketHooks(const LinkPtr& link)
+{
+    const std::weak_ptr<Link> weak = link;
+    PeerSocket::Hooks hooks;
+    hooks.onOpen = [this, weak] {
+        if (const auto self = weak.lock())
+            sendHello(self);
+    };
+    hooks.onMessage = [this, weak](std::string_view bytes) {
+        if (const auto self = weak.lock())
+            onBytes(self, bytes);
+    };
+    hooks.onClose = [this, weak](const std::string& reason) {
+        if (const auto self = weak.lock())
+            drop(self, reason);
+    };
+    return hooks;
+}
+
+// ---- private: proof of the fleet secret ----
+
+void PeerLinks::sendHello(const LinkPtr& link)
+{
+    link->ownNonce = observe::randomHex(NONCE_BYTES);
+    sendOn(link, Hello { settings_.self.id, link->ownNonce });
+}
+
+void PeerLinks::onHello(const LinkPtr& link, const Hello& hello)
+{
+    const bool isExpected
+        = link->peerId.empty() ? peers_.count(routing::nodeKey(hello.vm)) > 0 : hello.vm == link->peerId;
+    if (!isExpected || !link->peerNonce.empty()) {
+        reject(link, "unexpected hello");
+        return;
+    }
+    link->peerId = hello.vm;
+    link->peerNonce = hello.nonce;
+    sendOn(link, Proof { proofDigest(settings_.self.id, hello.vm, hello.nonce) });
+}
+
+void PeerLinks::onProof(const LinkPtr& link, const Proof& proof)
+{
+    const std::string expected = proofDigest(link->peerId, settings_.self.id, link->ownNonce);
+    if (link->peerId.empty() || link->proved || !observe::equalConstantTime(proof.digest, expected)) {
+        reject(link, "wrong proof");
+        return;
+    }
+    const NodeKey key = routing::nodeKey(link->peerId);
+    unproved_.erase(std::remove(unproved_.begin(), unproved_.end(), link), unproved_.end());
+    const auto old = links_.find(key);
+    if (old != links_.end() && old->second != link)
+        drop(LinkPtr(old->second), "replaced by a newer link");
+    link->proved = true;
+    links_[key] = link;
+    Peer& peer = peers_.at(key);
+    peer.isUp = true;
+    peer.lastHeardAt = loop_.now();
+    hooks_.onUp(peer);
+}
+
+std::string PeerLinks::proofDigest(
+    const std::string& prover, const std::string& verifier, const std::string& verifierNonce) const
+{
+    return observe::hmacSha256Hex(settings_.fleetSecret, "peer:" + prover + ":" + verifier + ":" + verifierNonce);
+}
+
+// ---- private: messages ----
+
+void PeerLinks::onBytes(const LinkPtr& link, std::string_view bytes)
+{
+    link->lastHeardAt = loop_.now();
+    try {
+        const PeerMessage message = decode(bytes);
+        Traffic& traffic = received_[kindName(message)];
+        ++traffic.messages;
+        traffic.bytes += bytes.size();
+        handle(link, message);
+    } catch (const errors::PeerError& e) {
+        reject(link, e.what());
+    }
+}
+
+void PeerLinks::handle(const LinkPtr& link, const PeerMessage& message)
+{
+    if (const auto* hello = std::get_if<Hello>(&message)) {
+        onHello(link, *hello);
+        return;
+    }
+    if (const auto* proof = std::get_if<Proof>(&message)) {
+        onProof(link, *proof);
+        return;
+    }
+    if (!link->proved) {
+        reject(link, "message before proof");
+        return;
+    }
+    Peer& peer = peers_.at(routing::nodeKey(link->peerId));
+    peer.lastHeardAt = loop_.now();
+    hooks_.onMessage(peer, message);
+}
+
+void PeerLinks::sendOn(const LinkPtr& link, const PeerMessage& message)
+{
+    const std::string bytes = encode(message);
+    Traffic& traffic = sent_[kindName(message)];
+    ++traffic.messages;
+    traffic.bytes += bytes.size();
+    link->socket->send(bytes);
+}
+
+// ---- private: closing ----
+
+void PeerLinks::reject(const LinkPtr& link, const std::string& reason)
+{
+    if (hooks_.onRejected)
+        hooks_.onRejected(link->peerId, reason);
+    loop_.after(0, [this, link, reason] { drop(link, reason); });
+}
+
+void PeerLinks::drop(const LinkPtr& link, const std::string&)
+{
+    if (!link->socket)
+        return;
+    const auto socket = std::move(link->socket);
+    closedBytes_ += socket->bytesIn() + socket->bytesOut();
+    socket->close();
+    unproved_.erase(std::remove(unproved_.begin(), unproved_.end(), link), unproved_.end());
+    const NodeKey key = routing::nodeKey(link->peerId);
+    const auto current = links_.find(key);
+    if (current == links_.end() || current->second != link)
+        return;
+    links_.erase(current);
+    Peer& peer = peers_.at(key);
+    if (!peer.isUp)
+        return;
+    peer.isUp = false;
+    hooks_.onDown(peer);
+}
+
+void PeerLinks::dropSilent()
+{
+    const loop::TimeMs now = loop_.now();
+    std::vector<LinkPtr> silent;
+    for (const auto& [key, link] : links_) {
+        const loop::TimeMs allowed = link->proved ? settings_.timeouts.peerSilenceMs : PROOF_TIMEOUT_MS;
+        const bool isBehind = link->socket->backlog() > MAX_BACKLOG_BYTES;
+        if (now - link->lastHeardAt > allowed || isBehind)
+            silent.push_back(link);
+    }
+    for (const auto& link : unproved_) {
+        if (now - link->openedAt > PROOF_TIMEOUT_MS)
+            silent.push_back(link);
+    }
+    for (const auto& link : silent)
+        drop(link, "silent");
+}
+
+} // namespace goldcrestcleat::fleet
--- /dev/null
+++ b/src/goldcrestcleat/fleet/PeerMessages.cpp
@@ -0,0 +1,202 @@
+#include "goldcrestcleat/fleet/PeerMessages.h"
+
+#include <array>
+
+namespace goldcrestcleat::fleet {
+
+using nlohmann::json;
+
+namespace {
+
+    // Types are the positions of the variant's alternatives.
+
+    json toArray(const Hello& m) { return { m.vm, m.nonce }; }
+    json toArray(const Proof& m) { return json::array({ m.digest }); }
+    json toArray(const Release& m) { return { m.ticket, m.engine }; }
+    json toArray(const Held& m) { return { m.engine, m.tickets }; }
+    json toArray(const Move& m) { return json::array({ m.engine }); }
+    json toArray(const Remember& m) { return { m.chat, m.engine }; }
+
+    json toArray(const Ask& m)
+    {
+        return { m.ticket, m.engine, m.workspace, static_cast<float>(m.cost), static_cast<float>(m.weight), m.waitMs,
+            m.suspect, m.lookup };
+    }
+
+    json toArray(const Verdict& m)
+    {
+        json array = { m.ticket, m.granted, m.load };
+        if (m.elsewhere != routing::NO_NODE)
+            array.push_back(m.elsewhere);
+        return array;
+    }
+
+    json toArray(const Loads& m)
+    {
+        json array = { (m.leaving ? 1 : 0) | (m.ready ? 2 : 0), m.configDigest };
+        for (const auto& [engine, load] : m.loads) {
+            array.push_back(engine);
+            array.push_back(load);
+        }
+        return array;
+    }
+
+    json toArray(const Suspects& m)
+    {
+        json array = json::array();
+        for (const auto& s : m.suspicions)
+            array.push_back({ s.fingerprint, s.crashId });
+        return array;
+    }
+
+    json toArray(const Status& m)
+    {
+        json array = json::array();
+        for (const auto& i : m.items)
+            array.push_back({ i.upstream, i.down, i.leaving, i.incarnation });
+        return array;
+    }
+
+    json toArray(const ConfigItems& m)
+    {
+        json array = json::array();
+        for (const auto& i : m.items)
+            array.push_back({ i.kind, i.id, i.version, i.value });
+        return array;
+    }
+
+    template <typename Number> Number read(const json& array, std::size_t index)
+    {
+        const json& value = array.at(index);
+        if constexpr (std::is_same_v<Number, bool>)
+            return value.get<bool>();
+        if (!value.is_number())
+            throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, "number expected");
+        return value.get<Number>();
+    }
+
+    // Element 0 is the type, so that members begin at 1.
+
+    Ask readAsk(const json& a)
+    {
+        Ask m;
+        m.ticket = read<std::uint32_t>(a, 1);
+        m.engine = read<std::uint32_t>(a, 2);
+        m.workspace = read<std::uint32_t>(a, 3);
+        m.cost = read<double>(a, 4);
+        m.weight = read<double>(a, 5);
+        m.waitMs = read<std::int64_t>(a, 6);
+        m.suspect = read<bool>(a, 7);
+        m.lookup = read<std::uint64_t>(a, 8);
+        if (!(m.cost > 0) || !(m.weight > 0))
+            throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, "cost and weight must be positive");
+        return m;
+    }
+
+    Verdict readVerdict(const json& a)
+    {
+        Verdict m { read<std::uint32_t>(a, 1), read<bool>(a, 2), read<int>(a, 3), routing::NO_NODE };
+        if (a.size() > 4)
+            m.elsewhere = read<std::uint32_t>(a, 4);
+        return m;
+    }
+
+    Loads readLoads(const json& a)
+    {
+        const int flags = read<int>(a, 1);
+        Loads m { (flags & 1) != 0, (flags & 2) != 0, read<std::uint32_t>(a, 2), {} };
+        for (std::size_t i = 3; i + 1 < a.size(); i += 2)
+            m.loads.emplace_back(read<std::uint32_t>(a, i), read<int>(a, i + 1));
+        return m;
+    }
+
+    Suspects readSuspects(const json& a)
+    {
+        Suspects m;
+        for (std::size_t i = 1; i < a.size(); ++i)
+            m.suspicions.push_back({ read<std::uint64_t>(a[i], 0), read<std::uint64_t>(a[i], 1) });
+        return m;
+    }
+
+    Status readStatus(const json& a)
+    {
+        Status m;
+        for (std::size_t i = 1; i < a.size(); ++i) {
+            const json& item = a[i];
+            m.items.push_back({ read<std::uint32_t>(item, 0), read<bool>(item, 1), read<bool>(item, 2),
+                read<std::uint64_t>(item, 3) });
+        }
+        return m;
+    }
+
+    ConfigItems readConfigItems(const json& a)
+    {
+        ConfigItems m;
+        for (std::size_t i = 1; i < a.size(); ++i) {
+            const json& item = a[i];
+            m.items.push_back({ item.at(0), item.at(1), read<std::uint64_t>(item, 2), item.at(3) });
+        }
+        return m;
+    }
+
+    PeerMessage readMessage(const json& a)
+    {
+        switch (read<unsigned>(a, 0)) {
+        case 0:
+            return Hello { a.at(1), a.at(2) };
+        case 1:
+            return Proof { a.at(1) };
+        case 2:
+            return readAsk(a);
+        case 3:
+            return readVerdict(a);
+        case 4:
+            return Release { read<std::uint32_t>(a, 1), read<std::uint32_t>(a, 2) };
+        case 5:
+            return Held { read<std::uint32_t>(a, 1), a.at(2).get<std::vector<routing::TicketId>>() };
+        case 6:
+            return readLoads(a);
+        case 7:
+            return Move { read<std::uint32_t>(a, 1) };
+        case 8:
+            return Remember { read<std::uint64_t>(a, 1), read<std::uint32_t>(a, 2) };
+        case 9:
+            return readSuspects(a);
+        case 10:
+            return readStatus(a);
+        case 11:
+            return readConfigItems(a);
+        default:
+            throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, "unknown message type");
+        }
+    }
+
+} // namespace
+
+std::string encode(const PeerMessage& message)
+{
+    json array = json::array({ message.index() });
+    const json members = std::visit([](const auto& m) { return toArray(m); }, message);
+    array.insert(array.end(), members.begin(), members.end());
+    std::string bytes;
+    json::to_cbor(array, bytes);
+    return bytes;
+}
+
+PeerMessage decode(std::string_view bytes)
+{
+    try {
+        return readMessage(json::from_cbor(bytes.begin(), bytes.end()));
+    } catch (const json::exception& e) {
+        throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, e.what());
+    }
+}
+
+const char* kindName(const PeerMessage& message)
+{
+    static constexpr std::array<const char*, std::variant_size_v<PeerMessage>> names = { "hello", "proof", "ask",
+        "verdict", "release", "held", "loads", "move", "remember", "suspects", "status", "config" };
+    return names[message.index()];
+}
+
+} // namespace goldcrestcleat::fleet
--- /dev/null
+++ b/src/goldcrestcleat/fleet/PeerMessages.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "goldcrestcleat/admission/Quarantine.h"
+#include "goldcrestcleat/errors/ResultCode.h"
+#include "goldcrestcleat/routing/Keys.h"
+#include "goldcrestcleat/routing/TicketDesk.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The daemons as a fleet: links between them, homes of engines, tickets and shared configuration.
+namespace goldcrestcleat::fleet {
+
+/// First message in both directions of a link.
+struct Hello {
+    std::string vm;
+    std::string nonce;
+};
+
+/// Second message: proves the fleet secret over the nonce that the other side sent.
+struct Proof {
+    std::string digest;
+};
+
+/// Asks the home of an engine for a ticket.
+struct Ask {
+    routing::TicketId ticket = 0;
+    routing::NodeKey engine = routing::NO_NODE;
+    std::uint32_t workspace = 0;
+    double cost = 1;
+    double weight = 1;
+    loop::TimeMs waitMs = 0;
+    bool suspect = false;
+    routing::ChatKey lookup = 0; ///< when not 0, the home may name the engine it remembers for this chat
+};
+
+/// Answers an ask.
+struct Verdict {
+    routing::TicketId ticket = 0;
+    bool granted = false;
+    int load = 0;
+    routing::NodeKey elsewhere = routing::NO_NODE; ///< the engine that served the chat last
+};
+
+/// Gives a ticket back.
+struct Release {
+    routing::TicketId ticket = 0;
+    routing::NodeKey engine = routing::NO_NODE;
+};
+
+/// All tickets that the sender holds on an engine; sent to a new home and after a link was renewed.
+struct Held {
+    routing::NodeKey engine = routing::NO_NODE;
+    std::vector<routing::TicketId> tickets;
+};
+
+/// Loads that changed among the engines whose home the sender is; also the heartbeat.
+struct Loads {
+    bool leaving = false;
+    bool ready = false;
+    std::uint32_t configDigest = 0;
+    std::vector<std::pair<routing::NodeKey, int>> loads;
+};
+
+/// Asks a holder to move one piece of work from an engine that is over the load bound.
+struct Move {
+    routing::NodeKey engine = routing::NO_NODE;
+};
+
+/// A chat ran on another engine than its hashed one.
+struct Remember {
+    routing::ChatKey chat = 0;
+    routing::NodeKey engine = routing::NO_NODE;
+};
+
+/// Requests that were running on an upstream when it crashed.
+struct Suspects {
+    std::vector<admission::Suspicion> suspicions;
+};
+
+/// What the sender found out about upstreams.
+struct Status {
+    struct Item {
+        routing::NodeKey upstream = routing::NO_NODE;
+        bool down = false;
+        bool leaving = false;
+        std::uint64_t incarnation = 0;
+    };
+    std::vector<Item> items;
+};
+
+/// Items of the shared configuration.
+struct ConfigItems {
+    struct Item {
+        std::string kind;
+        std::string id;
+        std::uint64_t version = 0;
+        nlohmann::json value;
+    };
+    std::vector<Item> items;
+};
+
+using PeerMessage
+    = std::variant<Hello, Proof, Ask, Verdict, Release, Held, Loads, Move, Remember, Suspects, Status, ConfigItems>;
+
+/// Upper size of an encoded message, in bytes.
+constexpr std::size_t MAX_PEER_MESSAGE_BYTES = 1024 * 1024;
+
+/// Encodes a message as a CBOR array whose first element is the message's type.
+std::string encode(const PeerMessage& message);
+
+/// Decodes a message. Throws PeerError with PeerFrameInvalid.
+PeerMessage decode(std::string_view bytes);
+
+/// Returns the message's type as used in metrics, such as "ask".
+const char* kindName(const PeerMessage& message);
+
+} // namespace goldcrestcleat::fleet
--- /dev/null
+++ b/src/goldcrestcleat/gateway/CallerGateway.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "goldcrestcleat/http/Server.h"
+#include "goldcrestcleat/profiles/ProfileBook.h"
+#include "goldcrestcleat/requests/ChatRequest.h"
+#include "goldcrestcleat/requests/Environment.h"
+
+/// HTTP interfaces of a daemon: for callers, operators and metrics.
+namespace goldcrestcleat::gateway {
+
+/// Serves callers: entry addresses, chat completions and plain services.
+class CallerGateway {
+public:
+    /// All references must outlive the gateway.
+    CallerGateway(requests::Environment& env, requests::ChatRequests& chats, const profiles::ProfileBook& profiles);
+
+    /// Opens the listener. Throws Error with AddressInUse.
+    void start();
+
+    /// Stops accepting and closes idle connections; open requests go on.
+    void closeListener();
+
+    /// Returns true once every connection is closed, its last answer taken by the caller.
+    bool isQuiet();
+
+private:
+    void onRequest(const http::Exchange::Ptr& exchange);
+    void route(const http::Exchange::Ptr& exchange, const std::string& requestId);
+    void onEntries(const http::Exchange::Ptr& exchange);
+    void onChat(const http::Exchange::Ptr& exchange, const std::string& requestId);
+    void onService(const http::Exchange::Ptr& exchange, const std::string& requestId);
+    requests::ChatCall readChat(const http::Exchange& exchange, const std::string& requestId) const;
+    const settings::Workspace& authenticate(const http::Exchange& exchange) const;
+    const profiles::Profile& profileOf(const std::string& name) const;
+    std::string chooseModel(const nlohmann::json& body, const profiles::Profile& profile) const;
+    void countOpen(const settings::Workspace& workspace, const profiles::Profile& profile);
+    void refuseAtOnce(
+        const http::Exchange::Ptr& exchange, const requests::Refusal& refusal, const std::string& requestId);
+
+    requests::Environment& env_;
+    requests::ChatRequests& chats_;
+    const profiles::ProfileBook& profiles_;
+    std::unique_ptr<http::Server> server_;
+};
+
+} // namespace goldcrestcleat::gateway
--- /dev/null
+++ b/src/goldcrestcleat/gateway/MetricsGateway.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "goldcrestcleat/http/Server.h"
+#include "goldcrestcleat/observe/Metrics.h"
+
+#include <functional>
+#include <memory>
+
+namespace goldcrestcleat::gateway {
+
+/// Serves `/metrics` and `/health` on the metrics listener.
+class MetricsGateway {
+public:
+    /// `refresh` is called before the metrics are written, to set gauges; `isReady` answers `/health`.
+    MetricsGateway(loop::EventLoop& loop, const std::string& address, const observe::Metrics& metrics,
+        std::function<void()> refresh, std::function<bool()> isReady);
+
+private:
+    void onRequest(const http::Exchange::Ptr& exchange);
+
+    const observe::Metrics& metrics_;
+    std::function<void()> refresh_;
+    std::function<bool()> isReady_;
+    http::Server server_;
+};
+
+} // namespace goldcrestcleat::gateway
--- /dev/null
+++ b/src/goldcrestcleat/http/Server.cpp
@@ -0,0 +1,340 @@
+#include "goldcrestcleat/http/Server.h"
+
+#include "goldcrestcleat/http/ServerSession.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/URI.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace goldcrestcleat::http {
+
+using errors::ResultCode;
+
+namespace {
+
+    constexpr std::size_t MAX_PIPELINED_BYTES = 64 * 1024;
+    constexpr loop::TimeMs SESSION_CHECK_MS = 250;
+    constexpr loop::TimeMs LINGER_MS = 1000; // time for a caller to read an early answer while it still sends
+
+    std::string responseHead(int status, const Fields& fields)
+    {
+        Poco::Net::HTTPResponse response(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+        response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+        for (const auto& [name, value] : fields)
+            response.set(name, value);
+        std::ostringstream out;
+        response.write(out);
+        return out.str();
+    }
+
+    std::string chunk(std::string_view part)
+    {
+        std::ostringstream out;
+        out << std::hex << part.size() << "\r\n" << part << "\r\n";
+        return out.str();
+    }
+
+} // namespace
+
+// ---- Exchange ----
+
+Exchange::Exchange(std::weak_ptr<ServerSession> session, Poco::Net::HTTPRequest head)
+    : session_(std::move(session))
+    , head_(std::move(head))
+{
+    const Poco::URI uri(head_.getURI());
+    path_ = uri.getPath();
+    query_ = uri.getQueryParameters();
+}
+
+std::string Exchange::query(const std::string& name) const
+{
+    for (const auto& [key, value] : query_) {
+        if (key == name)
+            return value;
+    }
+    return "";
+}
+
+void Exchange::reply(int status, const Fields& fields, std::string_view body)
+{
+    const auto session = session_.lock();
+    if (!session || answered_)
+        return;
+    answered_ = true;
+    const bool keepAlive = head_.getKeepAlive() && !session->isDraining();
+    Fields all = fields;
+    all.emplace_back("Content-Length", std::to_string(body.size()));
+    all.emplace_back("Connection", keepAlive ? "Keep-Alive" : "close");
+    std::string bytes = responseHead(status, all);
+    if (head_.getMethod() != Poco::Net::HTTPRequest::HTTP_HEAD)
+        bytes.append(body);
+    session->write(bytes);
+    session->endExchange(keepAlive);
+}
+
+void Exchange::startStream(int status, const Fields& fields)
+{
+    const auto session = session_.lock();
+    if (!session || answered_ || streaming_)
+        return;
+    streaming_ = true;
+    Fields all = fields;
+    all.emplace_back("Transfer-Encoding", "chunked");
+    all.emplace_back("Connection", session->isDraining() ? "close" : "Keep-Alive");
+    session->write(responseHead(status, all));
+}
+
+void Exchange::write(std::string_view part)
+{
+    const auto session = session_.lock();
+    if (session && streaming_ && !part.empty())
+        session->write(chunk(part));
+}
+
+void Exchange::finishStream()
+{
+    const auto session = session_.lock();
+    if (!session || !streaming_ || answered_)
+        return;
+    answered_ = true;
+    streaming_ = false;
+    session->write("0\r\n\r\n");
+    session->endExchange(head_.getKeepAlive() && !session->isDraining());
+}
+
+void Exchange::abort()
+{
+    answered_ = true;
+    if (const auto session = session_.lock())
+        session->abort();
+}
+
+std::size_t Exchange::backlog() const
+{
+    const auto session = session_.lock();
+    return session ? session->backlog() : 0;
+}
+
+// ---- ServerSession ----
+
+ServerSession::ServerSession(Server& server, const Poco::Net::StreamSocket& socket)
+    : server_(server)
+    , socket_(socket)
+    , reader_(MessageReader::Kind::Request, server.limits_,
+          { [this](const Poco::Net::HTTPRequest& head) { onHead(head); }, nullptr,
+              [this](std::string_view part) { onBody(part); }, [this] { onRequestEnd(); },
+              [this](ResultCode code, const std::string& context) { onFault(code, context); } })
+{
+}
+
+void ServerSession::start()
+{
+    const auto self = shared_from_this();
+    const std::weak_ptr<ServerSession> weak = self;
+    loop::Connection::Hooks hooks;
+    hooks.onData = [weak](std::string_view bytes) {
+        if (const auto session = weak.lock())
+            session->onData(bytes);
+    };
+    hooks.onClose = [weak](loop::CloseReason) {
+        if (const auto session = weak.lock())
+            session->onClose();
+    };
+    hooks.onDrain = [weak] {
+        if (const auto session = weak.lock())
+            session->onDrain();
+    };
+    lastProgress_ = server_.loop_.now();
+    connection_ = loop::Connection::adopt(server_.loop_, socket_, std::move(hooks));
+    armTimer();
+}
+
+void ServerSession::write(std::string_view bytes)
+{
+    lastProgress_ = server_.loop_.now();
+    connection_->send(bytes);
+}
+
+void ServerSession::endExchange(bool keepAlive)
+{
+    const auto keep = shared_from_this();
+    exchange_->onCallerGone = nullptr;
+    exchange_->onDrain = nullptr;
+    exchange_->session_.reset();
+    exchange_.reset();
+    requestStart_ = 0;
+    if (!requestEnded_) {
+        linger();
+        return;
+    }
+    if (!keepAlive || draining_) {
+        connection_->closeAfterDrain();
+        return;
+    }
+    requestEnded_ = false;
+    connection_->setReading(true);
+    server_.loop_.after(0, [weak = weak_from_this()] {
+        const auto session = weak.lock();
+        if (!session || !session->isOpen())
+            return;
+        if (session->reader_.buffered() > 0)
+            session->requestStart_ = session->server_.loop_.now();
+        session->reader_.next();
+    });
+}
+
+void ServerSession::abort() { connection_->close(); }
+
+void ServerSession::closeIfIdle()
+{
+    draining_ = true;
+    if (!exchange_ && requestStart_ == 0)
+        connection_->closeAfterDrain();
+}
+
+void ServerSession::onData(std::string_view bytes)
+{
+    if (lingering_)
+        return;
+    if (requestStart_ == 0)
+        requestStart_ = server_.loop_.now();
+    lastProgress_ = server_.loop_.now();
+    reader_.feed(bytes);
+    if (requestEnded_ && reader_.buffered() > MAX_PIPELINED_BYTES)
+        connection_->setReading(false);
+}
+
+void ServerSession::onClose()
+{
+    const auto exchange = std::move(exchange_);
+    if (!exchange)
+        return;
+    exchange->session_.reset();
+    const auto hook = exchange->onCallerGone;
+    if (hook)
+        hook();
+}
+
+void ServerSession::onHead(const Poco::Net::HTTPRequest& head)
+{
+    exchange_ = std::make_shared<Exchange>(weak_from_this(), head);
+    if (head.getExpectContinue())
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void ServerSession::onBody(std::string_view part)
+{
+    if (exchange_)
+        exchange_->body_.append(part);
+}
+
+void ServerSession::linger()
+{
+    // Closing with unread input would reset the connection and could destroy the answer on its way.
+    lingering_ = true;
+    server_.loop_.after(LINGER_MS, [weak = weak_from_this()] {
+        const auto session = weak.lock();
+        if (session && session->isOpen())
+            session->connection_->close();
+    });
+}
+
+void ServerSession::onRequestEnd()
+{
+    requestEnded_ = true;
+    server_.onRequest_(exchange_);
+}
+
+void ServerSession::onFault(ResultCode code, const std::string& context)
+{
+    if (!exchange_)
+        exchange_ = std::make_shared<Exchange>(weak_from_this(), Poco::Net::HTTPRequest("GET", "/", "HTTP/1.1"));
+    requestEnded_ = false; // closes after the answer
+    server_.onFault_(exchange_, code, context);
+}
+
+void ServerSession::onDrain()
+{
+    lastProgress_ = server_.loop_.now();
+    if (!exchange_ || !exchange_->onDrain)
+        return;
+    const auto hook = exchange_->onDrain; // may be cleared while it runs
+    hook();
+}
+
+void ServerSession::armTimer()
+{
+    server_.loop_.after(SESSION_CHECK_MS, [weak = weak_from_this()] {
+        const auto session = weak.lock();
+        if (session && session->isOpen())
+            session->onTimer();
+    });
+}
+
+void ServerSession::onTimer()
+{
+    const loop::TimeMs now = server_.loop_.now();
+    if (backlog() < lastBacklog_)
+        lastProgress_ = now;
+    lastBacklog_ = backlog();
+    if (lingering_)
+        return;
+    const bool reading = requestStart_ != 0 && !requestEnded_;
+    if (reading && now - requestStart_ > server_.timeouts_.requestMs) {
+        onFault(ResultCode::RequestTimeout, "slow sender");
+        return;
+    }
+    const bool idle = requestStart_ == 0 && now - lastProgress_ > server_.timeouts_.idleMs;
+    const bool stalled = backlog() > 0 && now - lastProgress_ > server_.timeouts_.writeStallMs;
+    if (idle || stalled) {
+        connection_->close();
+        onClose();
+        return;
+    }
+    armTimer();
+}
+
+// ---- Server ----
+
+Server::Server(loop::EventLoop& loop, const std::string& address, const Limits& limits, const ServerTimeouts& timeouts,
+    Handler onRequest, FaultHandler onFault)
+    : loop_(loop)
+    , limits_(limits)
+    , timeouts_(timeouts)
+    , onRequest_(std::move(onRequest))
+    , onFault_(std::move(onFault))
+    , listener_(loop, address, [this](const Poco::Net::StreamSocket& socket) { accept(socket); })
+{
+}
+
+Server::~Server() = default;
+
+void Server::closeIdle()
+{
+    draining_ = true;
+    for (const auto& session : sessions_)
+        session->closeIfIdle();
+    dropFinished();
+}
+
+void Server::accept(const Poco::Net::StreamSocket& socket)
+{
+    dropFinished();
+    const auto session = std::make_shared<ServerSession>(*this, socket);
+    sessions_.push_back(session);
+    session->start();
+    if (draining_)
+        session->setDraining();
+}
+
+void Server::dropFinished()
+{
+    const auto finished = [](const auto& session) { return !session->isOpen(); };
+    sessions_.erase(std::remove_if(sessions_.begin(), sessions_.end(), finished), sessions_.end());
+}
+
+} // namespace goldcrestcleat::http
--- /dev/null
+++ b/src/goldcrestcleat/loop/Connection.cpp
@@ -0,0 +1,248 @@
+#include "goldcrestcleat/loop/Connection.h"
+
+#include "goldcrestcleat/errors/ResultCode.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketImpl.h>
+
+namespace goldcrestcleat::loop {
+
+using Poco::Net::PollSet;
+
+namespace {
+
+    constexpr std::size_t READ_CHUNK_BYTES = 64 * 1024;
+    constexpr int LISTEN_BACKLOG = 1024;
+
+} // namespace
+
+Connection::Connection(EventLoop& loop, const Poco::Net::StreamSocket& socket, Hooks hooks, State state)
+    : loop_(loop)
+    , socket_(socket)
+    , hooks_(std::move(hooks))
+    , state_(state)
+{
+}
+
+Connection::Ptr Connection::connect(EventLoop& loop, const Poco::Net::SocketAddress& address, Hooks hooks)
+{
+    Ptr connection(new Connection(loop, Poco::Net::StreamSocket(), std::move(hooks), State::Connecting));
+    connection->peerAddress_ = address.toString();
+    try {
+        connection->socket_.connectNB(address);
+        connection->start();
+    } catch (const Poco::Exception&) {
+        loop.after(0, [connection] { connection->fail(CloseReason::ConnectFailed); });
+    }
+    return connection;
+}
+
+Connection::Ptr Connection::adopt(EventLoop& loop, const Poco::Net::StreamSocket& socket, Hooks hooks)
+{
+    Ptr connection(new Connection(loop, socket, std::move(hooks), State::Open));
+    connection->peerAddress_ = socket.peerAddress().toString();
+    connection->socket_.setBlocking(false);
+    connection->socket_.setNoDelay(true);
+    connection->start();
+    return connection;
+}
+
+Connection::~Connection() { release(); }
+
+void Connection::send(std::string_view bytes)
+{
+    if (state_ == State::Closed)
+        return;
+    output_.append(bytes);
+    if (state_ == State::Open && !blocked_ && !writePending())
+        failSoon();
+}
+
+void Connection::close()
+{
+    release();
+    hooks_ = {};
+}
+
+void Connection::closeAfterDrain()
+{
+    closeWhenDrained_ = true;
+    if (pendingOutput() == 0)
+        close();
+}
+
+void Connection::setReading(bool reading)
+{
+    reading_ = reading;
+    updateModes();
+}
+
+// ---- private ----
+
+void Connection::start()
+{
+    std::weak_ptr<Connection> weak = weak_from_this();
+    const int modes = state_ == State::Connecting ? PollSet::POLL_WRITE : PollSet::POLL_READ;
+    loop_.watch(socket_, modes, [weak](int ready) {
+        if (const auto self = weak.lock())
+            self->onReady(ready);
+    });
+}
+
+void Connection::onReady(int modes)
+{
+    if (state_ == State::Connecting) {
+        finishConnect();
+        return;
+    }
+    if (modes & (PollSet::POLL_READ | PollSet::POLL_ERROR))
+        readAvailable();
+    if (state_ == State::Open && (modes & PollSet::POLL_WRITE) && !writePending())
+        fail(CloseReason::Reset);
+}
+
+void Connection::finishConnect()
+{
+    int socketError = 0;
+    socket_.impl()->getOption(SOL_SOCKET, SO_ERROR, socketError);
+    if (socketError != 0) {
+        fail(CloseReason::ConnectFailed);
+        return;
+    }
+    socket_.setNoDelay(true);
+    state_ = State::Open;
+    updateModes();
+    if (hooks_.onConnect)
+        hooks_.onConnect();
+    if (state_ == State::Open && pendingOutput() > 0 && !writePending())
+        fail(CloseReason::Reset);
+}
+
+void Connection::readAvailable()
+{
+    static thread_local std::string buffer(READ_CHUNK_BYTES, '\0');
+    int received = 0;
+    try {
+        received = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    } catch (const Poco::TimeoutException&) {
+        return;
+    } catch (const Poco::Exception&) {
+        fail(CloseReason::Reset);
+        return;
+    }
+    if (received < 0)
+        return;
+    if (received == 0) {
+        fail(CloseReason::EndOfStream);
+        return;
+    }
+    if (hooks_.onData) {
+        const auto onData = hooks_.onData; // the hook may replace or clear itself
+        onData(std::string_view(buffer.data(), static_cast<std::size_t>(received)));
+    }
+}
+
+bool Connection::writePending()
+{
+    try {
+        while (pendingOutput() > 0) {
+            const int sent = socket_.sendBytes(output_.data() + written_, static_cast<int>(pendingOutput()));
+            if (sent <= 0)
+                break;
+            written_ += static_cast<std::size_t>(sent);
+        }
+    } catch (const Poco::TimeoutException&) {
+        // the socket buffer is full
+    } catch (const Poco::Exception&) {
+        return false;
+    }
+    const bool wasBlocked = blocked_;
+    blocked_ = pendingOutput() > 0;
+    updateModes();
+    if (blocked_)
+        return true;
+    output_.clear();
+    written_ = 0;
+    if (closeWhenDrained_)
+        close();
+    else if (wasBlocked && hooks_.onDrain)
+        hooks_.onDrain();
+    return true;
+}
+
+void Connection::failSoon()
+{
+    loop_.after(0, [self = shared_from_this()] { self->fail(CloseReason::Reset); });
+}
+
+void Connection::updateModes()
+{
+    if (state_ != State::Open)
+        return;
+    const int readMode = reading_ ? PollSet::POLL_READ : 0;
+    const int writeMode = pendingOutput() > 0 ? PollSet::POLL_WRITE : 0;
+    loop_.setModes(socket_, readMode | writeMode);
+}
+
+void Connection::fail(CloseReason reason)
+{
+    if (state_ == State::Closed)
+        return;
+    const auto self = shared_from_this();
+    release();
+    const auto onClose = std::move(hooks_.onClose);
+    hooks_ = {};
+    if (onClose)
+        onClose(reason);
+}
+
+void Connection::release()
+{
+    if (state_ == State::Closed)
+        return;
+    state_ = State::Closed;
+    loop_.unwatch(socket_);
+    try {
+        socket_.close();
+    } catch (const Poco::Exception&) {
+        // nothing is left to close
+    }
+}
+
+// ---- Listener ----
+
+Listener::Listener(EventLoop& loop, const std::string& address, AcceptHook onAccept)
+    : loop_(loop)
+    , onAccept_(std::move(onAccept))
+{
+    try {
+        socket_.bind(Poco::Net::SocketAddress(address), true);
+        socket_.listen(LISTEN_BACKLOG);
+        socket_.setBlocking(false);
+    } catch (const Poco::Exception& e) {
+        throw errors::Error(errors::ResultCode::AddressInUse, address + ": " + e.displayText());
+    }
+    loop_.watch(socket_, PollSet::POLL_READ, [this](int) { acceptReady(); });
+}
+
+Listener::~Listener() { close(); }
+
+void Listener::close()
+{
+    if (!open_)
+        return;
+    open_ = false;
+    loop_.unwatch(socket_);
+    socket_.close();
+}
+
+void Listener::acceptReady()
+{
+    try {
+        onAccept_(socket_.acceptConnection());
+    } catch (const Poco::Exception&) {
+        // the caller gave up before it was accepted
+    }
+}
+
+} // namespace goldcrestcleat::loop
--- /dev/null
+++ b/src/goldcrestcleat/loop/Connection.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "goldcrestcleat/loop/EventLoop.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace goldcrestcleat::loop {
+
+/// Why a connection ended without being closed from this side.
+enum class CloseReason { ConnectFailed, EndOfStream, Reset };
+
+/// A non-blocking TCP connection with an output buffer; hooks run on the loop's thread.
+class Connection : public std::enable_shared_from_this<Connection> {
+public:
+    using Ptr = std::shared_ptr<Connection>;
+
+    struct Hooks {
+        std::function<void()> onConnect;
+        std::function<void(std::string_view input)> onData;
+        std::function<void(CloseReason)> onClose; ///< never called after `close`
+        std::function<void()> onDrain; ///< the output buffer became empty
+    };
+
+    /// Starts to connect; failure is reported through `onClose` with ConnectFailed, never thrown.
+    static Ptr connect(EventLoop& loop, const Poco::Net::SocketAddress& address, Hooks hooks);
+
+    /// Takes over an accepted socket.
+    static Ptr adopt(EventLoop& loop, const Poco::Net::StreamSocket& socket, Hooks hooks);
+
+    ~Connection();
+
+    void setHooks(Hooks hooks) { hooks_ = std::move(hooks); }
+
+    /// Queues bytes and writes as much as the socket takes.
+    void send(std::string_view bytes);
+
+    /// Closes at once and drops unsent output.
+    void close();
+
+    /// Closes as soon as all queued output is written.
+    void closeAfterDrain();
+
+    /// Stops or restarts reading, so that TCP slows the sender.
+    void setReading(bool reading);
+
+    bool isOpen() const { return state_ != State::Closed; }
+    bool isConnected() const { return state_ == State::Open; }
+    std::size_t pendingOutput() const { return output_.size() - written_; }
+    const std::string& peerAddress() const { return peerAddress_; }
+
+private:
+    enum class State { Connecting, Open, Closed };
+
+    Connection(EventLoop& loop, const Poco::Net::StreamSocket& socket, Hooks hooks, State state);
+
+    void start();
+    void onReady(int modes);
+    void finishConnect();
+    void readAvailable();
+    bool writePending(); // false when the connection broke
+    void failSoon();
+    void updateModes();
+    void fail(CloseReason reason);
+    void release();
+
+    EventLoop& loop_;
+    Poco::Net::StreamSocket socket_;
+    Hooks hooks_;
+    State state_;
+    bool reading_ = true;
+    bool closeWhenDrained_ = false;
+    bool blocked_ = false; // the socket buffer is full
+    std::string output_;
+    std::size_t written_ = 0;
+    std::string peerAddress_;
+};
+
+/// Accepts connections on one address.
+class Listener {
+public:
+    using AcceptHook = std::function<void(const Poco::Net::StreamSocket&)>;
+
+    /// Binds and listens; port 0 takes a free one. Throws Error with AddressInUse.
+    Listener(EventLoop& loop, const std::string& address, AcceptHook onAccept);
+    ~Listener();
+
+    Listener(const Listener&) = delete;
+    Listener& operator=(const Listener&) = delete;
+
+    /// Returns the bound address as IP:port.
+    std::string address() const { return socket_.address().toString(); }
+
+    /// Stops accepting and frees the address.
+    void close();
+
+private:
+    void acceptReady();
+
+    EventLoop& loop_;
+    Poco::Net::ServerSocket socket_;
+    AcceptHook onAccept_;
+    bool open_ = true;
+};
+
+} // namespace goldcrestcleat::loop
--- /dev/null
+++ b/src/goldcrestcleat/profiles/ProfileBook.cpp
@@ -0,0 +1,42 @@
+#include "goldcrestcleat/profiles/ProfileBook.h"
+
+namespace goldcrestcleat::profiles {
+
+ProfileBook::ProfileBook(const std::vector<Profile>& initial)
+{
+    Profile fallback;
+    fallback.name = DEFAULT_NAME;
+    profiles_[fallback.name] = fallback;
+    for (const Profile& profile : initial)
+        profiles_[profile.name] = profile;
+}
+
+bool ProfileBook::apply(const std::string& name, std::uint64_t version, const nlohmann::json& document)
+{
+    std::vector<settings::Fault> faults;
+    Profile profile = parseProfile(document, faults);
+    if (!faults.empty() || profile.name != name)
+        return false;
+    const auto known = profiles_.find(name);
+    if (known != profiles_.end() && known->second.version >= version)
+        return false;
+    profile.version = version;
+    profiles_[name] = profile;
+    return true;
+}
+
+const Profile* ProfileBook::find(const std::string& name) const
+{
+    const auto found = profiles_.find(name);
+    return found == profiles_.end() ? nullptr : &found->second;
+}
+
+std::vector<Profile> ProfileBook::all() const
+{
+    std::vector<Profile> result;
+    for (const auto& [name, profile] : profiles_)
+        result.push_back(profile);
+    return result;
+}
+
+} // namespace goldcrestcleat::profiles
--- /dev/null
+++ b/src/goldcrestcleat/requests/Claims.cpp
@@ -0,0 +1,181 @@
+#include "goldcrestcleat/requests/Claims.h"
+
+#include "goldcrestcleat/observe/Digest.h"
+
+#include <algorithm>
+
+namespace goldcrestcleat::requests {
+
+using nlohmann::json;
+using platform::CommitOutcome;
+
+namespace {
+
+    constexpr int INSERT_TRIES = 3;
+    constexpr int UPDATE_TRIES = 40;
+    constexpr loop::TimeMs UPDATE_RETRY_MS = 250;
+    constexpr loop::TimeMs MAX_UPDATE_RETRY_MS = 10'000;
+    constexpr std::size_t TOKEN_BYTES = 16;
+
+    json rowValue(const Claim& claim, const char* state)
+    {
+        return { { "token", claim.token }, { "content", claim.content }, { "state", state } };
+    }
+
+} // namespace
+
+Claims::Claims(loop::EventLoop& loop, platform::TableClient& table)
+    : loop_(loop)
+    , table_(table)
+{
+}
+
+void Claims::acquire(
+    const std::string& workspace, const std::string& key, const std::string& content, ResultHook onResult)
+{
+    const auto attempt = std::make_shared<Attempt>();
+    attempt->claim.rowKey = "claim/" + workspace + "/" + observe::sha256Hex(key);
+    attempt->claim.token = observe::randomHex(TOKEN_BYTES);
+    attempt->claim.content = content;
+    attempt->onResult = std::move(onResult);
+    attempt->left = INSERT_TRIES;
+    insert(attempt);
+}
+
+void Claims::look(const Claim& claim, ResultHook onResult)
+{
+    table_.get({ claim.rowKey }, [claim, onResult = std::move(onResult)](const auto& rows) {
+        if (!rows) {
+            onResult({ ClaimState::StoreUnavailable, claim, {} });
+            return;
+        }
+        onResult(rows->empty() ? ClaimResult { ClaimState::Abandoned, claim, {} } : readRow(claim, rows->front()));
+    });
+}
+
+void Claims::abandon(const Claim& claim) { replace(claim, nullptr, /*remove*/ true, UPDATE_TRIES); }
+
+void Claims::storeAnswer(const Claim& claim, const StoredAnswer& answer)
+{
+    json value = rowValue(claim, "answered");
+    value["status"] = answer.status;
+    value["contentType"] = answer.contentType;
+    const bool fits = answer.body.size() <= MAX_STORED_BODY_BYTES;
+    value["body"] = fits ? answer.body : "";
+    value["isWhole"] = fits;
+    replace(claim, value, /*remove*/ false, UPDATE_TRIES);
+}
+
+void Claims::storeUnknown(const Claim& claim)
+{
+    replace(claim, rowValue(claim, "unknown"), /*remove*/ false, UPDATE_TRIES);
+}
+
+// ---- private ----
+
+void Claims::insert(const AttemptPtr& attempt)
+{
+    if (attempt->left-- == 0) {
+        end(attempt, ClaimState::StoreUnavailable);
+        return;
+    }
+    platform::Commit commit;
+    commit.conditions = { { attempt->claim.rowKey, 0 } };
+    commit.puts = { { attempt->claim.rowKey, rowValue(attempt->claim, "claimed") } };
+    table_.commit(commit, [this, attempt](CommitOutcome outcome) {
+        if (outcome == CommitOutcome::Committed) {
+            end(attempt, ClaimState::Owned);
+            return;
+        }
+        if (outcome == CommitOutcome::NotSent) {
+            end(attempt, ClaimState::StoreUnavailable);
+            return;
+        }
+        attempt->maybeWritten = attempt->maybeWritten || outcome == CommitOutcome::Unknown;
+        readBack(attempt);
+    });
+}
+
+void Claims::readBack(const AttemptPtr& attempt)
+{
+    table_.get({ attempt->claim.rowKey }, [this, attempt](const auto& rows) {
+        if (!rows) {
+            end(attempt, ClaimState::StoreUnavailable);
+            return;
+        }
+        if (rows->empty()) {
+            // The write was lost, or it is still on its way; the same token makes a second insert harmless.
+            insert(attempt);
+            return;
+        }
+        const json& value = rows->front().value;
+        if (value.value("token", "") == attempt->claim.token) {
+            end(attempt, ClaimState::Owned);
+            return;
+        }
+        attempt->onResult(readRow(attempt->claim, rows->front()));
+    });
+}
+
+void Claims::end(const AttemptPtr& attempt, ClaimState state)
+{
+    // A claim that may have been written and is not used would block its key.
+    if (state == ClaimState::StoreUnavailable && attempt->maybeWritten)
+        abandon(attempt->claim);
+    attempt->onResult({ state, attempt->claim, {} });
+}
+
+void Claims::replace(const Claim& claim, const json& value, bool remove, int triesLeft)
+{
+    if (triesLeft == 0)
+        return;
+    const auto again = [this, claim, value, remove, triesLeft] {
+        const int tries = UPDATE_TRIES - triesLeft;
+        const loop::TimeMs delayMs = std::min(UPDATE_RETRY_MS * (tries + 1), MAX_UPDATE_RETRY_MS);
+        loop_.after(delayMs, [=] { replace(claim, value, remove, triesLeft - 1); });
+    };
+    table_.get({ claim.rowKey }, [this, claim, value, remove, again](const auto& rows) {
+        if (!rows) {
+            again();
+            return;
+        }
+        const bool isOwn = !rows->empty() && rows->front().value.value("token", "") == claim.token;
+        const bool isOpen = isOwn && rows->front().value.value("state", "") == "claimed";
+        if (!isOpen) {
+            // A removed claim may still be written by a delayed insert, so its absence is checked again.
+            if (remove && rows->empty())
+                again();
+            return;
+        }
+        platform::Commit commit;
+        commit.conditions = { { claim.rowKey, rows->front().revision } };
+        if (remove)
+            commit.deletes = { claim.rowKey };
+        else
+            commit.puts = { { claim.rowKey, value } };
+        table_.commit(commit, [again](CommitOutcome outcome) {
+            if (outcome != CommitOutcome::Committed)
+                again();
+        });
+    });
+}
+
+ClaimResult Claims::readRow(const Claim& claim, const platform::Row& row)
+{
+    ClaimResult result { ClaimState::Open, claim, {} };
+    const json& value = row.value;
+    const std::string state = value.value("state", "claimed");
+    if (value.value("content", "") != claim.content)
+        result.state = ClaimState::KeyReused;
+    else if (state == "unknown")
+        result.state = ClaimState::OutcomeUnknown;
+    else if (state == "answered") {
+        result.state = ClaimState::Answered;
+        result.answer.status = value.value("status", 200);
+        result.answer.contentType = value.value("contentType", "application/json");
+        result.answer.body = value.value("body", "");
+    }
+    return result;
+}
+
+} // namespace goldcrestcleat::requests
--- /dev/null
+++ b/src/goldcrestcleat/requests/Environment.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "goldcrestcleat/admission/OpenCounts.h"
+#include "goldcrestcleat/admission/Quarantine.h"
+#include "goldcrestcleat/admission/RetryBudget.h"
+#include "goldcrestcleat/fleet/Fleet.h"
+#include "goldcrestcleat/http/Client.h"
+#include "goldcrestcleat/observe/Explanations.h"
+#include "goldcrestcleat/observe/Log.h"
+#include "goldcrestcleat/observe/Metrics.h"
+#include "goldcrestcleat/routing/Hint.h"
+#include "goldcrestcleat/upstreams/Directory.h"
+#include "goldcrestcleat/upstreams/Prober.h"
+
+#include <random>
+
+/// The life cycle of callers' requests.
+namespace goldcrestcleat::requests {
+
+class Claims;
+
+/// What requests use of the daemon; everything outlives the requests.
+struct Environment {
+    loop::EventLoop& loop;
+    const settings::Settings& settings;
+    const observe::Log& log;
+    observe::Metrics& metrics;
+    observe::Explanations& explanations;
+    http::Client& client;
+    upstreams::Directory& directory;
+    upstreams::Prober& prober;
+    routing::LoadView& view;
+    fleet::Fleet& fleet;
+    admission::Quarantine& quarantine;
+    admission::RetryBudget& retryBudget;
+    admission::OpenCounts& openCounts;
+    const routing::HintSealer& hints;
+    Claims& claims;
+    std::mt19937_64& random;
+};
+
+} // namespace goldcrestcleat::requests
--- /dev/null
+++ b/src/goldcrestcleat/settings/ObjectReader.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "goldcrestcleat/errors/ResultCode.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <set>
+#include <string>
+#include <vector>
+
+/// Checked settings of a daemon.
+namespace goldcrestcleat::settings {
+
+/// One fault of a JSON document.
+struct Fault {
+    errors::ResultCode code;
+    std::string pointer; ///< JSON pointer to the faulty value
+    std::string detail;
+
+    bool operator==(const Fault& other) const
+    {
+        return code == other.code && pointer == other.pointer && detail == other.detail;
+    }
+};
+
+/// Returns a fault as one line: number, name, pointer, detail.
+std::string toString(const Fault& fault);
+
+/// Reads typed members of a JSON object and collects every fault instead of stopping at the first one.
+class ObjectReader {
+public:
+    ObjectReader(const nlohmann::json& object, std::string pointer, std::vector<Fault>& faults);
+
+    /// Reads a string; without a fallback the member is required.
+    std::string text(const std::string& key);
+    std::string text(const std::string& key, const std::string& fallback);
+
+    /// Reads a string that may hold letters, digits, '.', '_' and '-' only.
+    std::string identifier(const std::string& key);
+    std::string identifier(const std::string& key, const std::string& fallback);
+
+    /// Reads IP:port.
+    std::string address(const std::string& key);
+    std::string address(const std::string& key, const std::string& fallback);
+
+    std::int64_t integer(const std::string& key, std::int64_t min, std::int64_t max, std::int64_t fallback);
+    double number(const std::string& key, double min, double max, double fallback);
+    bool boolean(const std::string& key, bool fallback);
+
+    /// Calls `read` with a reader of the member; an absent member is read as an empty object.
+    void object(const std::string& key, const std::function<void(ObjectReader&)>& read);
+
+    /// Calls `read` with a reader of each element; an absent member is an empty list.
+    void list(const std::string& key, const std::function<void(ObjectReader&)>& read);
+
+    /// Records a fault when the value was seen before in `seen`.
+    void unique(const std::string& key, const std::string& value, std::set<std::string>& seen);
+
+    /// Records a fault at a member.
+    void fault(errors::ResultCode code, const std::string& key, const std::string& detail);
+
+    /// Records a fault for each member that was not read.
+    void finish();
+
+private:
+    const nlohmann::json* find(const std::string& key);
+    std::string checkedText(const std::string& key, const std::string* fallback);
+    std::string checkedIdentifier(const std::string& key, std::string value);
+    std::string checkedAddress(const std::string& key, std::string value);
+
+    const nlohmann::json& object_;
+    std::string pointer_;
+    std::vector<Fault>& faults_;
+    std::set<std::string> read_;
+};
+
+} // namespace goldcrestcleat::settings
--- /dev/null
+++ b/src/goldcrestcleat/upstreams/Directory.cpp
@@ -0,0 +1,208 @@
+#include "goldcrestcleat/upstreams/Directory.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace goldcrestcleat::upstreams {
+
+namespace {
+
+    Upstream fromSettings(const settings::Engine& engine)
+    {
+        Upstream u;
+        u.key = routing::nodeKey(engine.id);
+        u.id = engine.id;
+        u.kind = Kind::Engine;
+        u.address = engine.address;
+        u.dataCentre = engine.dataCentre;
+        u.group = engine.model;
+        u.maxRunning = engine.maxRunning;
+        return u;
+    }
+
+    Upstream fromSettings(const settings::Service& service)
+    {
+        Upstream u;
+        u.key = routing::nodeKey(service.id);
+        u.id = service.id;
+        u.kind = Kind::Service;
+        u.address = service.address;
+        u.dataCentre = service.dataCentre;
+        u.group = service.name;
+        return u;
+    }
+
+    Upstream fromList(const platform::VmEntry& entry)
+    {
+        Upstream u;
+        u.key = routing::nodeKey(entry.id);
+        u.id = entry.id;
+        u.kind = entry.kind == "engine" ? Kind::Engine : Kind::Service;
+        u.address = entry.address;
+        u.dataCentre = entry.dataCentre;
+        u.group = u.kind == Kind::Engine ? entry.model : entry.service;
+        u.incarnation = entry.incarnation;
+        return u;
+    }
+
+} // namespace
+
+Directory::Directory(const settings::Settings& settings, routing::LoadView& view)
+    : view_(view)
+{
+    for (const auto& engine : settings.engines)
+        put(fromSettings(engine));
+    for (const auto& service : settings.services)
+        put(fromSettings(service));
+}
+
+const Upstream* Directory::find(routing::NodeKey key) const
+{
+    const auto found = upstreams_.find(key);
+    return found == upstreams_.end() ? nullptr : &found->second;
+}
+
+const Upstream* Directory::findById(const std::string& id) const
+{
+    const Upstream* found = find(routing::nodeKey(id));
+    return found && found->id == id ? found : nullptr;
+}
+
+std::vector<const Upstream*> Directory::serversOf(const std::string& service, loop::TimeMs now) const
+{
+    std::vector<const Upstream*> servers;
+    std::vector<const Upstream*> avoided;
+    for (const auto& [key, u] : upstreams_) {
+        if (u.kind != Kind::Service || u.group != service || !u.takesWork())
+            continue;
+        (u.avoidUntil > now ? avoided : servers).push_back(&u);
+    }
+    auto& result = servers.empty() ? avoided : servers;
+    std::sort(result.begin(), result.end(), [](const Upstream* a, const Upstream* b) { return a->id < b->id; });
+    return result;
+}
+
+bool Directory::knowsService(const std::string& service) const
+{
+    return std::any_of(upstreams_.begin(), upstreams_.end(),
+        [&](const auto& item) { return item.second.kind == Kind::Service && item.second.group == service; });
+}
+
+std::vector<const Upstream*> Directory::all() const
+{
+    std::vector<const Upstream*> result;
+    for (const auto& [key, u] : upstreams_)
+        result.push_back(&u);
+    return result;
+}
+
+void Directory::applyList(const std::vector<platform::VmEntry>& entries)
+{
+    for (const auto& entry : entries) {
+        if (entry.kind != "engine" && entry.kind != "service")
+            continue;
+        const routing::NodeKey key = routing::nodeKey(entry.id);
+        if (upstreams_.count(key) == 0 && !entry.address.empty())
+            put(fromList(entry));
+        const auto found = upstreams_.find(key);
+        if (found == upstreams_.end())
+            continue;
+        Upstream& u = found->second;
+        if (entry.state == platform::VmState::Leaving) {
+            markLeaving(key, entry.incarnation);
+            continue;
+        }
+        if (entry.incarnation <= u.incarnation)
+            continue;
+        const bool tookWork = u.takesWork();
+        u.incarnation = entry.incarnation;
+        u.absence.leaving = false;
+        if (!entry.address.empty())
+            u.address = entry.address;
+        publish(u, tookWork);
+    }
+}
+
+bool Directory::markLeaving(routing::NodeKey key, std::uint64_t incarnation)
+{
+    const auto found = upstreams_.find(key);
+    if (found == upstreams_.end() || incarnation < found->second.incarnation || found->second.absence.leaving)
+        return false;
+    const bool tookWork = found->second.takesWork();
+    found->second.absence.leaving = true;
+    found->second.incarnation = incarnation;
+    publish(found->second, tookWork);
+    return true;
+}
+
+bool Directory::setRetired(const std::string& id, bool retired)
+{
+    const auto found = upstreams_.find(routing::nodeKey(id));
+    if (found == upstreams_.end() || found->second.absence.retired == retired)
+        return false;
+    const bool tookWork = found->second.takesWork();
+    found->second.absence.retired = retired;
+    publish(found->second, tookWork);
+    return true;
+}
+
+void Directory::onContact(routing::NodeKey key, const std::string& run)
+{
+    const auto found = upstreams_.find(key);
+    if (found == upstreams_.end())
+        return;
+    const bool tookWork = found->second.takesWork();
+    found->second.failures = 0;
+    found->second.avoidUntil = 0;
+    found->second.absence.down = false;
+    if (!run.empty())
+        found->second.run = run;
+    publish(found->second, tookWork);
+}
+
+bool Directory::onContactFailed(routing::NodeKey key, loop::TimeMs now)
+{
+    const auto found = upstreams_.find(key);
+    if (found == upstreams_.end())
+        return false;
+    const bool tookWork = found->second.takesWork();
+    ++found->second.failures;
+    found->second.avoidUntil = now + AVOID_MS;
+    if (found->second.failures >= FAILURES_TO_DOWN)
+        found->second.absence.down = true;
+    publish(found->second, tookWork);
+    return found->second.absence.down;
+}
+
+void Directory::setDown(routing::NodeKey key, bool down)
+{
+    const auto found = upstreams_.find(key);
+    if (found == upstreams_.end() || found->second.absence.down == down)
+        return;
+    const bool tookWork = found->second.takesWork();
+    found->second.absence.down = down;
+    found->second.failures = 0;
+    publish(found->second, tookWork);
+}
+
+// ---- private ----
+
+void Directory::put(Upstream upstream)
+{
+    Upstream& stored = upstreams_[upstream.key];
+    stored = std::move(upstream);
+    publish(stored, !stored.takesWork());
+}
+
+void Directory::publish(Upstream& u, bool tookWork)
+{
+    assert(u.key == routing::nodeKey(u.id));
+    if (u.takesWork() == tookWork)
+        return;
+    if (u.kind == Kind::Engine)
+        view_.putEngine({ u.key, u.group, u.maxRunning, u.takesWork() });
+    if (onChange)
+        onChange(u);
+}
+
+} // namespace goldcrestcleat::upstreams
--- /dev/null
+++ b/standins/Common.cpp
@@ -0,0 +1,62 @@
+#include "Common.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace standins {
+
+namespace {
+
+    constexpr std::size_t MAX_BODY_BYTES = 16 * 1024 * 1024;
+    loop::EventLoop* runningLoop = nullptr; // for the signal handler
+
+    void onStopSignal(int) { runningLoop->stop(); }
+
+} // namespace
+
+TruthLog::TruthLog(const std::string& path)
+{
+    if (!path.empty())
+        file_.open(path, std::ios::app);
+}
+
+void TruthLog::write(loop::TimeMs now, nlohmann::json line)
+{
+    if (!file_.is_open())
+        return;
+    line["t"] = now;
+    file_ << line.dump() << std::endl; // flushed, so that a killed stand-in's log is whole
+}
+
+bool Faults::take(const std::string& name)
+{
+    const long long left = number(name);
+    if (left <= 0)
+        return false;
+    switches_[name] = left - 1;
+    return true;
+}
+
+void replyJson(http::Exchange& exchange, int status, const nlohmann::json& body, http::Fields fields)
+{
+    fields.emplace_back("Content-Type", "application/json");
+    exchange.reply(status, fields, body.dump());
+}
+
+int serve(loop::EventLoop& eventLoop, const std::string& address, const http::Server::Handler& handler)
+{
+    runningLoop = &eventLoop;
+    std::signal(SIGTERM, onStopSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+    http::Limits limits;
+    limits.bodyBytes = MAX_BODY_BYTES;
+    http::Server server(eventLoop, address, limits, {}, handler,
+        [](const http::Exchange::Ptr& exchange, goldcrestcleat::errors::ResultCode, const std::string& context) {
+            replyJson(*exchange, 400, { { "error", context } });
+        });
+    std::cout << "listening " << server.address() << std::endl;
+    eventLoop.run();
+    return 0;
+}
+
+} // namespace standins
--- /dev/null
+++ b/tools/harness/Caller.cpp
@@ -0,0 +1,160 @@
+#include "harness/Caller.h"
+
+#include "../../standins/AnswerText.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+#include <Poco/Timestamp.h>
+
+#include <sstream>
+
+namespace goldcrestcleat::harness {
+
+using nlohmann::json;
+
+int Answer::errorCode() const
+{
+    const nlohmann::json document = json();
+    return document.is_object() && document.contains("error") ? document["error"].value("code", 0) : 0;
+}
+
+std::string Answer::executed() const
+{
+    const nlohmann::json document = json();
+    return document.is_object() && document.contains("error") ? document["error"].value("executed", "") : "";
+}
+
+Answer call(const std::string& address, const std::string& method, const std::string& target, const std::string& body,
+    const Headers& headers, int timeoutMs)
+{
+    Answer answer;
+    try {
+        Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress(address) };
+        session.setTimeout(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(timeoutMs) * 1000));
+        Poco::Net::HTTPRequest request(method, target, Poco::Net::HTTPMessage::HTTP_1_1);
+        for (const auto& [name, value] : headers)
+            request.set(name, value);
+        if (!body.empty() || method == "POST")
+            request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        session.sendRequest(request) << body;
+        Poco::Net::HTTPResponse response;
+        std::istream& in = session.receiveResponse(response);
+        answer.status = response.getStatus();
+        for (const auto& [name, value] : response)
+            answer.headers[name] = value;
+        char buffer[8192];
+        while (in.read(buffer, sizeof buffer) || in.gcount() > 0)
+            answer.body.append(buffer, static_cast<std::size_t>(in.gcount()));
+        const auto length = response.getContentLength64();
+        answer.isBroken = length >= 0 && static_cast<std::size_t>(length) != answer.body.size() && method != "HEAD";
+    } catch (const Poco::Exception&) {
+        answer.isBroken = true;
+    }
+    return answer;
+}
+
+std::string callRaw(const std::string& address, const std::string& bytes, int timeoutMs, bool closeWriting)
+{
+    std::string received;
+    const Poco::Timestamp start;
+    try {
+        Poco::Net::StreamSocket socket { Poco::Net::SocketAddress(address) };
+        socket.setReceiveTimeout(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(timeoutMs) * 1000));
+        std::size_t sent = 0;
+        while (sent < bytes.size())
+            sent += static_cast<std::size_t>(
+                socket.sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent)));
+        if (closeWriting)
+            socket.shutdownSend();
+        char buffer[8192];
+        while (!start.isElapsed(static_cast<Poco::Timestamp::TimeDiff>(timeoutMs) * 1000)) {
+            const int count = socket.receiveBytes(buffer, sizeof buffer);
+            if (count <= 0)
+                break;
+            received.append(buffer, static_cast<std::size_t>(count));
+        }
+    } catch (const Poco::Exception&) {
+        // what came before is returned
+    }
+    return received;
+}
+
+StreamAnswer readEvents(const Answer& answer)
+{
+    StreamAnswer result;
+    result.status = answer.status;
+    result.headers = answer.headers;
+    if (answer.status != 200) {
+        result.errorCode = answer.errorCode();
+        result.executed = answer.executed();
+        return result;
+    }
+    std::istringstream lines(answer.body);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.rfind("data: ", 0) != 0)
+            continue;
+        if (line == "data: [DONE]") {
+            result.isWhole = true;
+            continue;
+        }
+        const json event = json::parse(line.substr(6), nullptr, false);
+        if (!event.is_object())
+            continue;
+        if (event.contains("error")) {
+            result.errorCode = event["error"].value("code", 0);
+            result.executed = event["error"].value("executed", "");
+            continue;
+        }
+        const json& choice = event["choices"][0];
+        if (choice["delta"].contains("content")) {
+            result.text += choice["delta"]["content"].get<std::string>();
+            ++result.parts;
+        }
+        result.sawFinish = result.sawFinish || choice["finish_reason"].is_string();
+    }
+    return result;
+}
+
+Chat::Chat(std::string workspace, std::string key, std::string id)
+    : workspace_(std::move(workspace))
+    , key_(std::move(key))
+    , id_(std::move(id))
+{
+}
+
+StreamAnswer Chat::say(const std::string& address, const std::string& text, std::size_t parts, const Headers& more)
+{
+    json messages = history_;
+    messages.push_back({ { "role", "user" }, { "content", text } });
+    Headers headers = { { "X-Workspace", workspace_ }, { "Authorization", "Bearer " + key_ }, { "X-Chat", id_ } };
+    if (!hint_.empty())
+        headers["X-Hint"] = hint_;
+    for (const auto& [name, value] : more)
+        headers[name] = value;
+    const json body = { { "messages", messages }, { "stream", true }, { "max_tokens", parts } };
+    const StreamAnswer answer = readEvents(call(address, "POST", "/v1/chat/completions", body.dump(), headers));
+    if (answer.isWhole) {
+        history_ = messages;
+        history_.push_back({ { "role", "assistant" }, { "content", answer.text } });
+        const auto header = [&](const char* name) { return answer.headers.count(name) ? answer.headers.at(name) : ""; };
+        hint_ = header("X-Hint");
+        servedBy_ = header("X-Served-By");
+    }
+    return answer;
+}
+
+std::string Chat::expectedAnswer(const std::string& text, std::size_t parts) const
+{
+    json messages = history_;
+    messages.push_back({ { "role", "user" }, { "content", text } });
+    return standins::wholeAnswer(standins::conversationHash(messages), parts);
+}
+
+} // namespace goldcrestcleat::harness
--- /dev/null
+++ b/tools/harness/Rig.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "harness/Caller.h"
+#include "harness/Process.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace goldcrestcleat::harness {
+
+/// What a rig consists of.
+struct RigOptions {
+    int daemons = 5;
+    int engines = 4;
+    int services = 2;
+    int workspaces = 2;
+    nlohmann::json engineFaults = nlohmann::json::object(); ///< switches and speeds of all engines
+    nlohmann::json settings = nlohmann::json::object(); ///< merged into each daemon's settings
+    std::string binary; ///< of the daemons; the built one when empty
+};
+
+/// A platform, engines, services and daemons as processes on loopback addresses of their own.
+class Rig {
+public:
+    explicit Rig(const RigOptions& options);
+    ~Rig();
+
+    /// Starts everything and waits until every daemon is ready and sees all its peers. Throws std::runtime_error.
+    void start();
+
+    /// Waits until every daemon that runs is ready and sees `peers` peers that are up; false after `timeoutMs`.
+    bool waitForFleet(int peers, int timeoutMs = 10'000);
+
+    void startDaemon(int index);
+    void startEngine(int index, const nlohmann::json& faults);
+
+    Process& daemon(int index) { return *daemons_.at(static_cast<std::size_t>(index)); }
+    Process& engine(int index) { return *engines_.at(static_cast<std::size_t>(index)); }
+    Process& service(int index) { return *services_.at(static_cast<std::size_t>(index)); }
+    Process& platform() { return *platform_; }
+
+    std::string callerAddress(int daemon) const { return callerAddresses_.at(static_cast<std::size_t>(daemon)); }
+    std::string adminAddress(int daemon) const { return adminAddresses_.at(static_cast<std::size_t>(daemon)); }
+    std::string peerAddress(int daemon) const { return peerAddresses_.at(static_cast<std::size_t>(daemon)); }
+    std::string metricsAddress(int daemon) const { return metricsAddresses_.at(static_cast<std::size_t>(daemon)); }
+    std::string engineAddress(int engine) const { return engineAddresses_.at(static_cast<std::size_t>(engine)); }
+    std::string settingsPath(int daemon) const;
+    const std::string& folder() const { return folder_; }
+
+    static std::string workspaceId(int index) { return "ws" + std::to_string(index + 1); }
+    static std::string workspaceKey(int index) { return "key-of-ws" + std::to_string(index + 1); }
+    static std::string operatorToken() { return "token-of-ops"; }
+    static std::string engineId(int index) { return "engine" + std::to_string(index + 1); }
+    static std::string serviceId(int index) { return "service" + std::to_string(index + 1); }
+    static std::string vmId(int index) { return "vm" + std::to_string(index + 1); }
+
+    /// Returns the number of an engine from its id.
+    static int engineIndex(const std::string& id) { return std::stoi(id.substr(6)) - 1; }
+
+    void setEngineFaults(int index, const nlohmann::json& faults);
+    void setServiceFaults(int index, const nlohmann::json& faults);
+    void setPlatformFaults(const nlohmann::json& faults);
+
+    /// Calls an admin listener with the operator's token.
+    Answer admin(
+        int daemon, const std::string& method, const std::string& target, const nlohmann::json& body = {}) const;
+
+    /// Calls a service as workspace 1; an empty key sends none.
+    Answer callService(int daemon, const std::string& method, const std::string& target, const std::string& key,
+        const std::string& body = "", int timeoutMs = 30'000) const;
+
+    /// Returns a chat of workspace 1.
+    Chat chat(const std::string& id) const { return Chat(workspaceId(0), workspaceKey(0), id); }
+
+    /// Returns the lines of a truth log: "platform", or an engine's or service's id.
+    std::vector<nlohmann::json> truth(const std::string& name) const;
+
+    /// Returns all lines of all services' truth logs whose event and key match.
+    int countRuns(const std::string& key) const;
+
+    /// Returns the value of a metric line that begins with the text, 0 when there is none.
+    double metric(int daemon, const std::string& beginning) const;
+
+private:
+    using ProcessPtr = std::unique_ptr<Process>;
+
+    ProcessPtr startStandin(const std::string& kind, const std::string& name, const std::string& address,
+        const nlohmann::json& faults, std::string& boundAddress);
+    std::string newAddress();
+    void writeSettings(int index) const;
+    static void control(const std::string& address, const nlohmann::json& faults);
+
+    RigOptions options_;
+    std::string folder_;
+    std::string network_; // first three numbers of this rig's loopback addresses
+    int nextHost_ = 2;
+    ProcessPtr platform_;
+    std::vector<ProcessPtr> engines_;
+    std::vector<ProcessPtr> services_;
+    std::vector<ProcessPtr> daemons_;
+    std::string platformAddress_;
+    std::vector<std::string> engineAddresses_;
+    std::vector<std::string> serviceAddresses_;
+    std::vector<std::string> callerAddresses_;
+    std::vector<std::string> adminAddresses_;
+    std::vector<std::string> peerAddresses_;
+    std::vector<std::string> metricsAddresses_;
+};
+
+/// Calls the condition every 20 ms until it holds; false after `timeoutMs`.
+bool eventually(const std::function<bool()>& condition, int timeoutMs = 10'000);
+
+void sleepMs(int ms);
+
+} // namespace goldcrestcleat::harness
