Add contract tests for input, chats under upstream faults and at-most-once calls

Ruled out for the settings: the parser (a parsed file gives unsigned numbers and was right all along).

--- a/src/goldcrestcleat/settings/ObjectReader.cpp
+++ b/src/goldcrestcleat/settings/ObjectReader.cpp
@@ -89,12 +89,14 @@
         fault(ResultCode::WrongType, key, "must be a whole number");
         return fallback;
     }
-    const bool tooLarge = value->is_number_unsigned() && value->get<std::uint64_t>() > static_cast<std::uint64_t>(max);
-    if (tooLarge || value->get<std::int64_t>() < min) {
+    constexpr auto largest = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+    const bool overflows = value->is_number_unsigned() && value->get<std::uint64_t>() > largest;
+    const std::int64_t number = overflows ? max : value->get<std::int64_t>();
+    if (overflows || number < min || number > max) {
         fault(ResultCode::OutOfRange, key, "must be " + std::to_string(min) + " to " + std::to_string(max));
         return fallback;
     }
-    return value->get<std::int64_t>();
+    return number;
 }
 
 double ObjectReader::number(const std::string& key, double min, double max, double fallback)
--- /dev/null
+++ b/tests/unit/http_test.cpp
@@ -0,0 +1,120 @@
+#include "goldcrestcleat/http/MessageReader.h"
+#include "goldcrestcleat/requests/SseReader.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace goldcrestcleat;
+using http::MessageReader;
+
+namespace {
+
+/// Feeds bytes in pieces and notes what the reader says.
+struct Reading {
+    int heads = 0;
+    int ends = 0;
+    int fault = 0;
+    std::string body;
+
+    Reading(
+        MessageReader::Kind kind, const std::string& bytes, std::size_t piece, const http::Limits& limits = { 200, 50 })
+    {
+        MessageReader reader(kind, limits,
+            { [&](const Poco::Net::HTTPRequest&) { ++heads; }, [&](const Poco::Net::HTTPResponse&) { ++heads; },
+                [&](std::string_view part) { body.append(part); }, [&] { ++ends; },
+                [&](errors::ResultCode code, const std::string&) { fault = static_cast<int>(code); } });
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+            reader.feed(bytes.substr(at, piece));
+            reader.next();
+        }
+        reader.endOfStream();
+    }
+};
+
+struct Case {
+    const char* name;
+    std::string bytes;
+    int heads;
+    int ends;
+    int fault;
+    std::string body;
+};
+
+} // namespace
+
+Test(message_reader, requests_are_cut_the_same_way_whatever_the_pieces)
+{
+    const std::vector<Case> cases = {
+        { "no body", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 1, 1, 0, "" },
+        { "two pipelined", "GET / HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n", 2, 2, 0, "" },
+        { "length", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello", 1, 1, 0, "hello" },
+        { "chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n", 1, 1,
+            0, "abcde" },
+        { "early end", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel", 1, 0, 0, "hel" },
+        { "garbage", "\x01\x02\x03\r\n\r\n", 0, 0, 1001, "" },
+        { "head too large", "GET / HTTP/1.1\r\nX: " + std::string(300, 'a') + "\r\n\r\n", 0, 0, 1002, "" },
+        { "head never ends", std::string(300, 'a'), 0, 0, 1002, "" },
+        { "body too large", "POST / HTTP/1.1\r\nContent-Length: 51\r\n\r\n", 0, 0, 1003, "" },
+        { "chunks too large", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n", 1, 0, 1003, "" },
+        { "bad length", "POST / HTTP/1.1\r\nContent-Length: five\r\n\r\n", 0, 0, 1001, "" },
+        { "negative length", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 0, 0, 1001, "" },
+        { "length and chunks", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 0, 0, 1001,
+            "" },
+        { "bad chunk size", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", 1, 0, 1001, "" },
+        { "chunk longer than said", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", 1, 0, 1001,
+            "a" },
+    };
+    for (const auto& c : cases) {
+        for (const std::size_t piece : { std::size_t { 1 }, std::size_t { 7 }, std::size_t { 10'000 } }) {
+            const Reading r(MessageReader::Kind::Request, c.bytes, piece);
+            cr_assert_eq(r.heads, c.heads, "%s, pieces of %zu: %d heads", c.name, piece, r.heads);
+            cr_assert_eq(r.ends, c.ends, "%s, pieces of %zu: %d ends", c.name, piece, r.ends);
+            cr_assert_eq(r.fault, c.fault, "%s, pieces of %zu: fault %d", c.name, piece, r.fault);
+            cr_assert(r.body == c.body, "%s, pieces of %zu: body '%s'", c.name, piece, r.body.c_str());
+        }
+    }
+}
+
+Test(message_reader, a_response_without_length_ends_with_the_stream)
+{
+    const Reading r(MessageReader::Kind::Response, "HTTP/1.1 200 OK\r\n\r\nabc", 2);
+    cr_assert_eq(r.ends, 1);
+    cr_assert(r.body == "abc");
+}
+
+Test(message_reader, an_interim_response_is_passed_over)
+{
+    const Reading r(MessageReader::Kind::Response,
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", 3);
+    cr_assert_eq(r.heads, 1);
+    cr_assert(r.body == "x");
+}
+
+Test(message_reader, random_bytes_end_in_a_fault_or_wait_for_more)
+{
+    cr_assert(rc::check([](const std::string& bytes) {
+        const Reading r(MessageReader::Kind::Request, bytes + "\r\n\r\n", 3);
+        RC_ASSERT(r.fault == 0 || r.fault == 1001 || r.fault == 1002 || r.fault == 1003);
+    }));
+}
+
+Test(sse_reader, events_are_cut_and_classified_whatever_the_pieces)
+{
+    const std::string bytes = ": comment\n\n"
+                              "data: "
+                              "{\"id\":\"a\",\"choices\":[{\"delta\":{\"content\":\"x\\\"finish_reason\\\":\\\"stop\"},"
+                              "\"finish_reason\":null}]}\n\n"
+                              "data: {\"choices\":[{\"delta\":{},\"finish_reason\": \"stop\"}]}\n\n"
+                              "data: [DONE]\n\n";
+    for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+        requests::SseReader reader;
+        std::string kinds;
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+            reader.feed(bytes.substr(at, piece), [&](const requests::SseEvent& event) {
+                kinds += event.isDone ? 'D' : event.isFinish ? 'F' : event.hasContent ? 'C' : '?';
+                return true;
+            });
+        }
+        cr_assert(kinds == "CFD", "pieces of %zu: %s", piece, kinds.c_str());
+    }
+}
--- /dev/null
+++ b/tests/unit/peer_messages_test.cpp
@@ -0,0 +1,97 @@
+#include "goldcrestcleat/fleet/ConfigBook.h"
+#include "goldcrestcleat/fleet/PeerMessages.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace goldcrestcleat;
+using namespace goldcrestcleat::fleet;
+
+namespace {
+
+std::vector<PeerMessage> oneOfEach()
+{
+    return {
+        Hello { "vm1", "00ff" },
+        Proof { "ab" },
+        Ask { 1, 2, 3, 1.5, 2.5, 300, true, 0xffffffffffffffffULL },
+        Verdict { 9, true, 4, 77 },
+        Release { 1, 2 },
+        Held { 5, { 1, 2, 3 } },
+        Loads { true, false, 123, { { 1, 2 }, { 3, 4 } } },
+        Move { 8 },
+        Remember { 1, 2 },
+        Suspects { { { 1, 2 }, { 3, 4 } } },
+        Status { { { 1, true, false, 7 } } },
+        ConfigItems { { { "profile", "quick", 3, { { "priority", 1 } } } } },
+    };
+}
+
+} // namespace
+
+Test(peer_messages, every_message_survives_encoding)
+{
+    for (const auto& message : oneOfEach()) {
+        const std::string bytes = encode(message);
+        const PeerMessage back = decode(bytes);
+        cr_assert_eq(back.index(), message.index());
+        cr_assert(encode(back) == bytes, "%s changed on the way", kindName(message));
+    }
+}
+
+Test(peer_messages, cut_or_changed_bytes_throw_a_numbered_error_or_decode)
+{
+    for (const auto& message : oneOfEach()) {
+        const std::string whole = encode(message);
+        for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+            try {
+                decode(whole.substr(0, cut));
+                cr_assert_fail("%s cut to %zu bytes was taken", kindName(message), cut);
+            } catch (const errors::PeerError& e) {
+                cr_assert_eq(static_cast<int>(e.code()), 7002);
+            }
+        }
+    }
+    cr_assert(rc::check([](const std::string& garbage) {
+        try {
+            decode(garbage);
+        } catch (const errors::PeerError&) {
+            // the only exception that may leave
+        }
+    }));
+}
+
+Test(peer_messages, the_control_messages_of_a_request_are_small)
+{
+    cr_assert_leq(encode(Ask { 70'000, 0xffffffff, 0xffffffff, 1, 8, 300, false, 0xffffffffffffffffULL }).size(), 48);
+    cr_assert_leq(encode(Verdict { 70'000, true, 12, 0 }).size(), 12);
+    cr_assert_leq(encode(Release { 70'000, 0xffffffff }).size(), 12);
+}
+
+Test(config_book, versions_never_go_down)
+{
+    cr_assert(rc::check([] {
+        ConfigBook book;
+        std::uint64_t highest = 0;
+        for (int i = 0; i < 20; ++i) {
+            const auto version = *rc::gen::inRange<std::uint64_t>(1, 10);
+            const bool taken = book.apply({ "profile", "p", version, static_cast<int>(version) });
+            RC_ASSERT(taken == (version > highest));
+            highest = std::max(highest, version);
+            RC_ASSERT(book.find("profile", "p")->version == highest);
+        }
+    }));
+}
+
+Test(config_book, books_with_the_same_items_have_the_same_digest_in_any_order)
+{
+    ConfigBook one;
+    ConfigBook two;
+    one.apply({ "profile", "a", 1, 0 });
+    one.apply({ "profile", "a", 2, 0 });
+    one.apply({ "upstream", "b", 1, 0 });
+    two.apply({ "upstream", "b", 1, 0 });
+    cr_assert_neq(one.digest(), two.digest());
+    two.apply({ "profile", "a", 2, 0 });
+    cr_assert_eq(one.digest(), two.digest());
+}
--- /dev/null
+++ b/tests/unit/placement_test.cpp
@@ -0,0 +1,199 @@
+#include "goldcrestcleat/fleet/Homes.h"
+#include "goldcrestcleat/routing/ChatMemory.h"
+#include "goldcrestcleat/routing/Hint.h"
+#include "goldcrestcleat/routing/Placement.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace goldcrestcleat;
+using namespace goldcrestcleat::routing;
+
+namespace {
+
+LoadView viewOf(const std::vector<NodeKey>& keys)
+{
+    LoadView view(500);
+    for (const NodeKey key : keys)
+        view.putEngine({ key, "m", 100, true });
+    return view;
+}
+
+std::vector<NodeKey> keysUpTo(int count)
+{
+    std::vector<NodeKey> keys;
+    for (int i = 1; i <= count; ++i)
+        keys.push_back(nodeKey("engine" + std::to_string(i)));
+    return keys;
+}
+
+/// The naive version: looks at every engine.
+NodeKey naiveLeastLoad(const LoadView& view, const std::vector<NodeKey>& excluded)
+{
+    NodeKey best = NO_NODE;
+    int bestLoad = 0;
+    for (const auto& entry : view.entries()) {
+        if (!entry.eligible || std::count(excluded.begin(), excluded.end(), entry.key))
+            continue;
+        if (best == NO_NODE || entry.load < bestLoad) {
+            best = entry.key;
+            bestLoad = entry.load;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+Test(placement, the_same_view_gives_the_same_first_engine_whatever_the_order_it_was_built_in)
+{
+    cr_assert(rc::check([](ChatKey chat) {
+        auto keys = keysUpTo(20);
+        const auto one = viewOf(keys).hashedEngine("m", chat);
+        std::reverse(keys.begin(), keys.end());
+        RC_ASSERT(viewOf(keys).hashedEngine("m", chat) == one);
+    }));
+}
+
+Test(placement, removing_an_engine_moves_only_its_chats)
+{
+    cr_assert(rc::check([] {
+        auto keys = keysUpTo(20);
+        const auto before = viewOf(keys);
+        const auto gone = keys[*rc::gen::inRange<std::size_t>(0, keys.size())];
+        auto after = viewOf(keys);
+        after.putEngine({ gone, "m", 100, false });
+        for (int i = 0; i < 200; ++i) {
+            const auto chat = *rc::gen::arbitrary<ChatKey>();
+            const auto old = before.hashedEngine("m", chat);
+            if (old != gone)
+                RC_ASSERT(after.hashedEngine("m", chat) == old);
+            else
+                RC_ASSERT(after.hashedEngine("m", chat) != gone);
+        }
+    }));
+}
+
+Test(placement, the_least_loaded_engine_equals_the_naive_choice_on_small_fleets)
+{
+    cr_assert(rc::check([] {
+        const auto keys = keysUpTo(*rc::gen::inRange(1, 32));
+        auto view = viewOf(keys);
+        std::vector<NodeKey> excluded;
+        for (const auto key : keys) {
+            view.setLoad(key, *rc::gen::inRange(0, 30), 0);
+            if (*rc::gen::inRange(0, 4) == 0)
+                excluded.push_back(key);
+        }
+        std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+        const auto chosen = view.leastLoaded("m", excluded, LEAST_LOADED_SAMPLES, random);
+        const auto naive = naiveLeastLoad(view, excluded);
+        RC_ASSERT((chosen == NO_NODE) == (naive == NO_NODE));
+        if (naive != NO_NODE)
+            RC_ASSERT(view.find(chosen)->load == view.find(naive)->load);
+    }));
+}
+
+Test(placement, the_mean_equals_a_full_sum_after_any_changes)
+{
+    cr_assert(rc::check([] {
+        const auto keys = keysUpTo(12);
+        auto view = viewOf(keys);
+        for (int step = 0; step < 60; ++step) {
+            const auto key = keys[*rc::gen::inRange<std::size_t>(0, keys.size())];
+            if (*rc::gen::inRange(0, 5) == 0)
+                view.putEngine({ key, "m", 100, *rc::gen::arbitrary<bool>() });
+            else
+                view.setLoad(key, *rc::gen::inRange(0, 50), step);
+        }
+        double sum = 0;
+        int count = 0;
+        for (const auto& entry : view.entries()) {
+            sum += entry.eligible ? entry.load : 0;
+            count += entry.eligible;
+        }
+        RC_ASSERT(std::abs(view.mean("m") - (count ? sum / count : 0.0)) < 1e-9);
+    }));
+}
+
+Test(placement, a_hint_goes_before_memory_and_hashing_and_is_only_advice)
+{
+    const auto keys = keysUpTo(4);
+    auto view = viewOf(keys);
+    std::mt19937_64 random(1);
+    PlacementQuery query;
+    query.chat = 42;
+    query.model = "m";
+    query.hinted = keys[1];
+    query.remembered = keys[2];
+    cr_assert_eq(choosePlacement(view, query, random).engine, keys[1]);
+    view.putEngine({ keys[1], "m", 100, false });
+    cr_assert_eq(choosePlacement(view, query, random).engine, keys[2], "a hint at a leaving engine is ignored");
+    query.remembered = nodeKey("unknown");
+    const auto choice = choosePlacement(view, query, random);
+    cr_assert_eq(choice.engine, view.hashedEngine("m", 42));
+    cr_assert_not(choice.isWarm);
+}
+
+Test(placement, chats_spread_evenly_over_engines)
+{
+    const auto keys = keysUpTo(20);
+    const auto view = viewOf(keys);
+    std::map<NodeKey, int> count;
+    constexpr int CHATS = 40'000;
+    for (ChatKey chat = 1; chat <= CHATS; ++chat)
+        ++count[view.hashedEngine("m", chat)];
+    for (const auto key : keys) {
+        cr_assert_gt(count[key], CHATS / 20 * 0.6);
+        cr_assert_lt(count[key], CHATS / 20 * 1.4);
+    }
+}
+
+Test(hint, opens_only_for_its_chat_and_secret)
+{
+    const HintSealer sealer("secret-one");
+    const auto hint = sealer.seal(7, 1234);
+    cr_assert_eq(sealer.open(7, hint), 1234);
+    cr_assert_eq(sealer.open(8, hint), NO_NODE);
+    cr_assert_eq(HintSealer("secret-two").open(7, hint), NO_NODE);
+    std::string forged = hint;
+    forged[0] = forged[0] == 'a' ? 'b' : 'a';
+    cr_assert_eq(sealer.open(7, forged), NO_NODE);
+    cr_assert_eq(sealer.open(7, ""), NO_NODE);
+    cr_assert_eq(sealer.open(7, std::string(10'000, 'f')), NO_NODE);
+}
+
+Test(chat_memory, keeps_the_newest_chats_within_its_bytes)
+{
+    ChatMemory memory(64 * 1024);
+    cr_assert_leq(memory.capacity() * 16, 64 * 1024);
+    for (ChatKey chat = 1; chat <= 100'000; ++chat)
+        memory.put(chat, 9);
+    cr_assert_leq(memory.size(), memory.capacity());
+    cr_assert_eq(memory.find(100'000), 9);
+    memory.put(100'000, 10);
+    cr_assert_eq(memory.find(100'000), 10);
+    cr_assert_eq(memory.find(1), NO_NODE);
+}
+
+Test(homes, losing_a_daemon_moves_only_its_upstreams_to_their_second)
+{
+    const auto upstreams = keysUpTo(200);
+    const std::vector<NodeKey> daemons = { 1, 2, 3, 4, 5 };
+    fleet::Homes before;
+    before.setDaemons(daemons);
+    for (const auto gone : daemons) {
+        fleet::Homes after;
+        auto left = daemons;
+        left.erase(std::find(left.begin(), left.end(), gone));
+        after.setDaemons(left);
+        for (const auto upstream : upstreams) {
+            const auto home = before.homeOf(upstream);
+            cr_assert_eq(after.homeOf(upstream), home == gone ? before.secondOf(upstream) : home);
+        }
+    }
+}
