--- /dev/null
+++ b/bench/decisions.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
