Cut control traffic: entry answers by hint, rosters and load slots, fewer probes

Ruled out: the platform polls (183 B/s) and heartbeats without a change.

Changed: the entry answer names the home of the engine in the chat's hint; engines are named by slot of a roster that is sent when it changes; a healthy upstream is probed every 2 s and a doubtful one every 250 ms; an ask takes 26 bytes at most; a chat is remembered at its owners only when its engine changed.

--- a/src/goldcrestcleat/fleet/Fleet.cpp
+++ b/src/goldcrestcleat/fleet/Fleet.cpp
@@ -54,10 +54,16 @@
     store_.onPolled = [this] { updateReady(); };
 }
 
-std::vector<settings::EntryVm> Fleet::entriesFor(const std::string& model, routing::ChatKey chat) const
+std::vector<settings::EntryVm> Fleet::entriesFor(const std::string& model, routing::ChatKey chat, NodeKey hinted)
 {
     std::vector<settings::EntryVm> entries;
-    const NodeKey engine = view_.hashedEngine(model, chat);
+    routing::PlacementQuery query;
+    query.chat = chat;
+    query.model = model;
+    query.hinted = hinted;
+    query.remembered = memory_.find(chat);
+    std::mt19937_64 unused;
+    const NodeKey engine = routing::choosePlacement(view_, query, unused).engine;
     for (const NodeKey daemon : homes_.ranked(engine)) {
         if (daemon == self_)
             entries.push_back(settings_.self);
@@ -86,15 +92,13 @@
 void Fleet::remember(const std::string& model, routing::ChatKey chat, NodeKey engine)
 {
     const NodeKey hashed = view_.hashedEngine(model, chat);
-    const NodeKey home = homes_.homeOf(hashed);
-    const NodeKey second = homes_.secondOf(hashed);
-    const bool isException = engine != hashed;
-    if (!isException && memory_.find(chat) == NO_NODE && home == self_)
+    const NodeKey known = memory_.find(chat);
+    // A chat that runs where hashing puts it needs no memory, unless there is one that says otherwise.
+    const NodeKey expected = known == NO_NODE ? hashed : known;
+    if (engine == expected)
         return;
     memory_.put(chat, engine);
-    if (!isException)
-        return;
-    for (const NodeKey owner : { home, second }) {
+    for (const NodeKey owner : { homes_.homeOf(hashed), homes_.secondOf(hashed) }) {
         if (owner != self_ && owner != NO_NODE)
             links_.send(owner, Remember { chat, engine });
     }
@@ -137,6 +141,8 @@
         tickets_.onHeld(key, *held);
     else if (const auto* loads = std::get_if<Loads>(&message))
         onLoads(peer, *loads);
+    else if (const auto* roster = std::get_if<Roster>(&message))
+        onRoster(peer, *roster);
     else if (const auto* move = std::get_if<Move>(&message))
         tickets_.onMove(move->engine);
     else if (const auto* chat = std::get_if<Remember>(&message))
@@ -152,17 +158,21 @@
 
 void Fleet::onLoads(const Peer& peer, const Loads& loads)
 {
-    const bool changesHomes = peer.isReady != loads.ready || peer.isLeaving != loads.leaving;
-    const bool changesConfig = peer.configDigest != loads.configDigest;
-    links_.setPeerState(peer.key, loads.ready, loads.leaving, loads.configDigest);
-    for (const auto& [engine, load] : loads.loads) {
-        if (!tickets_.desk().isOpen(engine))
-            view_.setLoad(engine, load, loop_.now());
+    const auto& roster = peerRosters_[peer.key];
+    for (const auto& [slot, load] : loads.loads) {
+        if (slot < roster.size() && !tickets_.desk().isOpen(roster[slot]))
+            view_.setLoad(roster[slot], load, loop_.now());
     }
+}
+
+void Fleet::onRoster(const Peer& peer, const Roster& roster)
+{
+    const bool changesHomes = peer.isReady != roster.ready || peer.isLeaving != roster.leaving;
+    peerRosters_[peer.key] = roster.engines;
+    links_.setPeerState(peer.key, roster.ready, roster.leaving, roster.configDigest);
     if (changesHomes)
         updateHomes();
-    if (changesHomes || changesConfig)
-        updateReady();
+    updateReady();
 }
 
 void Fleet::onStatus(const Status& status)
@@ -188,7 +198,8 @@
 {
     log_.info("peer-up", { { "peer", peer.vm.id } });
     const Peer copy = peer;
-    links_.send(copy.key, ownLoads(true));
+    links_.send(copy.key, ownRoster());
+    links_.send(copy.key, allLoads());
     links_.send(copy.key, Suspects { quarantine_.current(loop_.now()) });
     for (const auto* upstream : directory_.all()) {
         const bool isNews = upstream->absence.leaving || (upstream->absence.down && isHome(upstream->key));
@@ -254,7 +265,14 @@
 
 void Fleet::sendHeartbeat()
 {
-    const Loads changed = ownLoads(false);
+    const auto engines = openEngines();
+    if (engines != roster_ || flagsChanged_ || book_.digest() != sentDigest_) {
+        roster_ = engines;
+        sentDigest_ = book_.digest();
+        sentLoads_.assign(engines.size(), -1);
+        links_.broadcast(ownRoster());
+    }
+    const Loads changed = changedLoads();
     const bool isDue = loop_.now() - lastHeartbeatAt_ >= HEARTBEAT_MS;
     if (changed.loads.empty() && !flagsChanged_ && !isDue)
         return;
@@ -263,23 +281,40 @@
     links_.broadcast(changed);
 }
 
-Loads Fleet::ownLoads(bool all)
+Roster Fleet::ownRoster() const { return { isReady_, isLeaving_, book_.digest(), roster_ }; }
+
+std::vector<NodeKey> Fleet::openEngines() const
 {
-    Loads loads { isLeaving_, isReady_, book_.digest(), {} };
-    for (const auto& entry : view_.entries()) {
-        if (!tickets_.desk().isOpen(entry.key))
-            continue;
-        const int load = tickets_.desk().load(entry.key);
-        const auto sent = sentLoads_.find(entry.key);
-        if (!all && sent != sentLoads_.end() && sent->second == load)
+    std::vector<NodeKey> open;
+    for (const NodeKey key : engineKeys()) {
+        if (tickets_.desk().isOpen(key))
+            open.push_back(key);
+    }
+    std::sort(open.begin(), open.end());
+    return open;
+}
+
+Loads Fleet::changedLoads()
+{
+    Loads loads;
+    for (std::size_t slot = 0; slot < roster_.size(); ++slot) {
+        const int load = tickets_.desk().load(roster_[slot]);
+        if (load == sentLoads_[slot])
             continue;
-        if (!all)
-            sentLoads_[entry.key] = load;
-        loads.loads.emplace_back(entry.key, load);
+        sentLoads_[slot] = load;
+        loads.loads.emplace_back(static_cast<std::uint32_t>(slot), load);
     }
     return loads;
 }
 
+Loads Fleet::allLoads() const
+{
+    Loads loads;
+    for (std::size_t slot = 0; slot < roster_.size(); ++slot)
+        loads.loads.emplace_back(static_cast<std::uint32_t>(slot), tickets_.desk().load(roster_[slot]));
+    return loads;
+}
+
 void Fleet::repairConfig()
 {
     for (const Peer* peer : links_.peers()) {
--- a/src/goldcrestcleat/fleet/Fleet.h
+++ b/src/goldcrestcleat/fleet/Fleet.h
@@ -7,6 +7,7 @@
 #include "goldcrestcleat/fleet/PeerLinks.h"
 #include "goldcrestcleat/fleet/Tickets.h"
 #include "goldcrestcleat/observe/Log.h"
+#include "goldcrestcleat/routing/Placement.h"
 #include "goldcrestcleat/upstreams/Directory.h"
 
 namespace goldcrestcleat::fleet {
@@ -30,7 +31,10 @@
     bool isHome(routing::NodeKey upstream) const { return homes_.homeOf(upstream) == self_; }
 
     /// Returns the VMs that callers may use for a chat, best first; leaving ones are left out.
-    std::vector<settings::EntryVm> entriesFor(const std::string& model, routing::ChatKey chat) const;
+    ///
+    /// The first one is home of the engine that `hinted` names, that is remembered, or that hashing gives, so that
+    /// the chat's ticket costs no message between daemons.
+    std::vector<settings::EntryVm> entriesFor(const std::string& model, routing::ChatKey chat, routing::NodeKey hinted);
 
     /// True once the configuration was read from the table or, in an outage, agreed with every reachable peer.
     bool isReady() const { return isReady_; }
@@ -69,6 +73,7 @@
 private:
     void onMessage(const Peer& peer, const PeerMessage& message);
     void onLoads(const Peer& peer, const Loads& loads);
+    void onRoster(const Peer& peer, const Roster& roster);
     void onStatus(const Status& status);
     void onConfigItems(const ConfigItems& items);
     void onUp(const Peer& peer);
@@ -76,7 +81,10 @@
     void updateHomes();
     void updateReady();
     void sendHeartbeat();
-    Loads ownLoads(bool all);
+    Loads changedLoads();
+    Roster ownRoster() const;
+    Loads allLoads() const;
+    std::vector<routing::NodeKey> openEngines() const;
     void repairConfig();
     std::vector<routing::NodeKey> engineKeys() const;
     static Status statusOf(const upstreams::Upstream& upstream);
@@ -94,7 +102,10 @@
     Homes homes_;
     PeerLinks links_;
     Tickets tickets_;
-    std::map<routing::NodeKey, int> sentLoads_;
+    std::vector<routing::NodeKey> roster_; ///< engines in the order of their slots, as told to the peers
+    std::vector<int> sentLoads_; ///< by slot
+    std::map<routing::NodeKey, std::vector<routing::NodeKey>> peerRosters_;
+    std::uint32_t sentDigest_ = 0;
     loop::TimeMs lastHeartbeatAt_ = 0;
     bool flagsChanged_ = true;
     bool isReady_ = false;
--- a/src/goldcrestcleat/fleet/PeerMessages.cpp
+++ b/src/goldcrestcleat/fleet/PeerMessages.cpp
@@ -1,6 +1,8 @@
 #include "goldcrestcleat/fleet/PeerMessages.h"
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace goldcrestcleat::fleet {
 
@@ -17,10 +19,17 @@
     json toArray(const Move& m) { return json::array({ m.engine }); }
     json toArray(const Remember& m) { return { m.chat, m.engine }; }
 
+    constexpr double HUNDREDTHS = 100;
+
+    std::int64_t toHundredths(double value) { return std::max<std::int64_t>(1, std::llround(value * HUNDREDTHS)); }
+
     json toArray(const Ask& m)
     {
-        return { m.ticket, m.engine, m.workspace, static_cast<float>(m.cost), static_cast<float>(m.weight), m.waitMs,
-            m.suspect, m.lookup };
+        json array
+            = { m.ticket, m.engine, m.workspace, toHundredths(m.cost), toHundredths(m.weight), m.waitMs, m.suspect };
+        if (m.lookup != 0)
+            array.push_back(m.lookup);
+        return array;
     }
 
     json toArray(const Verdict& m)
@@ -31,11 +40,13 @@
         return array;
     }
 
+    json toArray(const Roster& m) { return { (m.ready ? 1 : 0) | (m.leaving ? 2 : 0), m.configDigest, m.engines }; }
+
     json toArray(const Loads& m)
     {
-        json array = { (m.leaving ? 1 : 0) | (m.ready ? 2 : 0), m.configDigest };
-        for (const auto& [engine, load] : m.loads) {
-            array.push_back(engine);
+        json array = json::array();
+        for (const auto& [slot, load] : m.loads) {
+            array.push_back(slot);
             array.push_back(load);
         }
         return array;
@@ -82,12 +93,13 @@
         Ask m;
         m.ticket = read<std::uint32_t>(a, 1);
         m.engine = read<std::uint32_t>(a, 2);
-        m.workspace = read<std::uint32_t>(a, 3);
-        m.cost = read<double>(a, 4);
-        m.weight = read<double>(a, 5);
+        m.workspace = read<std::uint16_t>(a, 3);
+        m.cost = read<double>(a, 4) / HUNDREDTHS;
+        m.weight = read<double>(a, 5) / HUNDREDTHS;
         m.waitMs = read<std::int64_t>(a, 6);
         m.suspect = read<bool>(a, 7);
-        m.lookup = read<std::uint64_t>(a, 8);
+        if (a.size() > 8)
+            m.lookup = read<std::uint64_t>(a, 8);
         if (!(m.cost > 0) || !(m.weight > 0))
             throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, "cost and weight must be positive");
         return m;
@@ -101,11 +113,17 @@
         return m;
     }
 
-    Loads readLoads(const json& a)
+    Roster readRoster(const json& a)
     {
         const int flags = read<int>(a, 1);
-        Loads m { (flags & 1) != 0, (flags & 2) != 0, read<std::uint32_t>(a, 2), {} };
-        for (std::size_t i = 3; i + 1 < a.size(); i += 2)
+        return { (flags & 1) != 0, (flags & 2) != 0, read<std::uint32_t>(a, 2),
+            a.at(3).get<std::vector<routing::NodeKey>>() };
+    }
+
+    Loads readLoads(const json& a)
+    {
+        Loads m;
+        for (std::size_t i = 1; i + 1 < a.size(); i += 2)
             m.loads.emplace_back(read<std::uint32_t>(a, i), read<int>(a, i + 1));
         return m;
     }
@@ -155,16 +173,18 @@
         case 5:
             return Held { read<std::uint32_t>(a, 1), a.at(2).get<std::vector<routing::TicketId>>() };
         case 6:
-            return readLoads(a);
+            return readRoster(a);
         case 7:
-            return Move { read<std::uint32_t>(a, 1) };
+            return readLoads(a);
         case 8:
-            return Remember { read<std::uint64_t>(a, 1), read<std::uint32_t>(a, 2) };
+            return Move { read<std::uint32_t>(a, 1) };
         case 9:
-            return readSuspects(a);
+            return Remember { read<std::uint64_t>(a, 1), read<std::uint32_t>(a, 2) };
         case 10:
-            return readStatus(a);
+            return readSuspects(a);
         case 11:
+            return readStatus(a);
+        case 12:
             return readConfigItems(a);
         default:
             throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, "unknown message type");
@@ -195,7 +215,7 @@
 const char* kindName(const PeerMessage& message)
 {
     static constexpr std::array<const char*, std::variant_size_v<PeerMessage>> names = { "hello", "proof", "ask",
-        "verdict", "release", "held", "loads", "move", "remember", "suspects", "status", "config" };
+        "verdict", "release", "held", "roster", "loads", "move", "remember", "suspects", "status", "config" };
     return names[message.index()];
 }
 
--- a/src/goldcrestcleat/fleet/PeerMessages.h
+++ b/src/goldcrestcleat/fleet/PeerMessages.h
@@ -29,8 +29,8 @@
 struct Ask {
     routing::TicketId ticket = 0;
     routing::NodeKey engine = routing::NO_NODE;
-    std::uint32_t workspace = 0;
-    double cost = 1;
+    std::uint16_t workspace = 0; ///< hash of the workspace id; workspaces that collide share a place in the queue
+    double cost = 1; ///< sent in hundredths, as is the weight
     double weight = 1;
     loop::TimeMs waitMs = 0;
     bool suspect = false;
@@ -57,12 +57,17 @@
     std::vector<routing::TicketId> tickets;
 };
 
-/// Loads that changed among the engines whose home the sender is; also the heartbeat.
-struct Loads {
-    bool leaving = false;
+/// What changes seldom: the sender's state and the engines whose home it is.
+struct Roster {
     bool ready = false;
+    bool leaving = false;
     std::uint32_t configDigest = 0;
-    std::vector<std::pair<routing::NodeKey, int>> loads;
+    std::vector<routing::NodeKey> engines; ///< an engine's position is its slot in Loads
+};
+
+/// Loads that changed, by slot of the sender's last roster; also the heartbeat.
+struct Loads {
+    std::vector<std::pair<std::uint32_t, int>> loads;
 };
 
 /// Asks a holder to move one piece of work from an engine that is over the load bound.
@@ -103,8 +108,8 @@
     std::vector<Item> items;
 };
 
-using PeerMessage
-    = std::variant<Hello, Proof, Ask, Verdict, Release, Held, Loads, Move, Remember, Suspects, Status, ConfigItems>;
+using PeerMessage = std::variant<Hello, Proof, Ask, Verdict, Release, Held, Roster, Loads, Move, Remember, Suspects,
+    Status, ConfigItems>;
 
 /// Upper size of an encoded message, in bytes.
 constexpr std::size_t MAX_PEER_MESSAGE_BYTES = 1024 * 1024;
--- a/src/goldcrestcleat/fleet/Tickets.h
+++ b/src/goldcrestcleat/fleet/Tickets.h
@@ -21,7 +21,7 @@
 /// What a request needs of an engine.
 struct TicketRequest {
     routing::NodeKey engine = routing::NO_NODE;
-    std::uint32_t workspace = 0; ///< hash of the workspace id
+    std::uint16_t workspace = 0; ///< hash of the workspace id
     double cost = 1;
     double weight = 1;
     loop::TimeMs waitMs = 0;
--- a/src/goldcrestcleat/requests/ChatRequest.cpp
+++ b/src/goldcrestcleat/requests/ChatRequest.cpp
@@ -77,7 +77,7 @@
     isMoving_ = true;
     fleet::TicketRequest request;
     request.engine = target;
-    request.workspace = routing::nodeKey(call_.workspace->id);
+    request.workspace = static_cast<std::uint16_t>(routing::nodeKey(call_.workspace->id));
     const auto self = shared_from_this();
     const auto ticket = std::make_shared<routing::TicketId>(0);
     *ticket = env_.fleet.tickets().acquire(request, [self, ticket, target](const fleet::TicketResult& result) {
@@ -120,7 +120,7 @@
     }
     fleet::TicketRequest request;
     request.engine = choice.engine;
-    request.workspace = routing::nodeKey(call_.workspace->id);
+    request.workspace = static_cast<std::uint16_t>(routing::nodeKey(call_.workspace->id));
     request.cost = call_.profile.cost;
     request.weight = call_.workspace->weight * priorityFactor(call_.profile.priority);
     request.suspect = env_.quarantine.isSuspect(call_.fingerprint, env_.loop.now());
--- a/src/goldcrestcleat/upstreams/Prober.cpp
+++ b/src/goldcrestcleat/upstreams/Prober.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-    constexpr loop::TimeMs PROBE_PERIOD_MS = 1'000;
+    constexpr loop::TimeMs PROBE_PERIOD_MS = 2'000;
+    constexpr loop::TimeMs FAILED_PROBE_PERIOD_MS = 250; // while it is open whether the upstream is down
     constexpr loop::TimeMs PROBE_TIMEOUT_MS = 800;
     constexpr loop::TimeMs SCHEDULE_MS = 100;
     constexpr std::size_t MAX_ANSWER_BYTES = 4096;
@@ -55,7 +56,8 @@
             continue;
         }
         loop::TimeMs& last = lastProbeAt_[key];
-        if (last != 0 && loop_.now() - last < PROBE_PERIOD_MS)
+        const bool isInDoubt = upstream->failures > 0 && !upstream->absence.down;
+        if (last != 0 && loop_.now() - last < (isInDoubt ? FAILED_PROBE_PERIOD_MS : PROBE_PERIOD_MS))
             continue;
         last = loop_.now();
         probe(key, http::Client::Reuse::Allowed, [this, key](const ProbeAnswer& answer) {
