Wait for the warm engine as long as the profile says; tell falling loads at once

Now only asks behind others are denied early.

Second change: a home whose load fell to 0.8 of what it told last tells the peers at its next 20 ms tick, and work is moved away three departures ahead of the bound instead of two.

--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -25,6 +25,7 @@
 ABSL_FLAG(double, admit, 1.10, "admit factor of the chosen way");
 ABSL_FLAG(double, wait_factor, 1.0, "factor on the profiles' wait for a warm engine");
 ABSL_FLAG(int, window_ms, 500, "window of the lowest mean");
+ABSL_FLAG(double, urgent_share, 0.8, "a home whose load fell to this share of what it told tells so at once");
 ABSL_FLAG(bool, move, true, "move streams away from engines over the bound");
 ABSL_FLAG(double, cache_share, 0.33, "share of all contexts that the caches hold");
 
@@ -333,21 +334,45 @@
     /// Homes tell their exact loads; without homes, engines' reports do.
     void gossip()
     {
+        for (int d = 0; d < DAEMONS; ++d)
+            tellLoads(d);
+    }
+
+    void tellLoads(int teller)
+    {
+        int sum = 0;
         for (int e = 0; e < ENGINES; ++e) {
+            if (homeOf_[static_cast<std::size_t>(e)] != teller)
+                continue;
             const int load = engines_[static_cast<std::size_t>(e)].running;
+            sum += load;
             for (int d = 0; d < DAEMONS; ++d) {
-                const bool isOwn = policy_ == "chosen" && homeOf_[static_cast<std::size_t>(e)] == d;
-                if (!isOwn)
-                    at(now_ + HOP_MS,
-                        [this, d, e, load] { view(d).setLoad(keys_[static_cast<std::size_t>(e)], load, now_); });
+                if (policy_ == "chosen" && d == teller)
+                    continue;
+                at(now_ + HOP_MS,
+                    [this, d, e, load] { view(d).setLoad(keys_[static_cast<std::size_t>(e)], load, now_); });
             }
         }
+        toldSum_[teller] = sum;
+    }
+
+    /// A home whose load has fallen much tells so at once, since the bound falls with the mean.
+    void tellFalls()
+    {
+        for (int d = 0; d < DAEMONS; ++d) {
+            int sum = 0;
+            for (int e = 0; e < ENGINES; ++e)
+                sum += homeOf_[static_cast<std::size_t>(e)] == d ? engines_[static_cast<std::size_t>(e)].running : 0;
+            if (sum <= absl::GetFlag(FLAGS_urgent_share) * toldSum_[d] && sum < toldSum_[d])
+                tellLoads(d);
+        }
     }
 
     void tick()
     {
         for (const auto& desk : desks_)
             desk->tick(now_);
+        tellFalls();
         if (!absl::GetFlag(FLAGS_move))
             return;
         for (const auto& desk : desks_) {
@@ -389,6 +414,7 @@
     std::map<TicketId, JobPtr> asked_;
     std::map<int, std::vector<JobPtr>> running_;
     std::map<int, NodeKey> hints_;
+    int toldSum_[DAEMONS] = {};
     std::priority_queue<Event> events_;
     std::uint64_t nextOrder_ = 0;
     TicketId nextTicket_ = 1;
--- a/src/goldcrestcleat/fleet/Fleet.cpp
+++ b/src/goldcrestcleat/fleet/Fleet.cpp
@@ -12,6 +12,7 @@
     constexpr loop::TimeMs LOADS_PERIOD_MS = 100;
     constexpr loop::TimeMs HEARTBEAT_MS = 500; // when no load has changed
     constexpr loop::TimeMs DESK_TICK_MS = 20;
+    constexpr double URGENT_SHARE = 0.8; // of the load that was told last
     constexpr loop::TimeMs SHED_PERIOD_MS = 25;
     constexpr loop::TimeMs REPAIR_PERIOD_MS = 1'000;
 
@@ -48,7 +49,10 @@
     links_.start();
     updateHomes();
     loop_.every(LOADS_PERIOD_MS, [this] { sendHeartbeat(); });
-    loop_.every(DESK_TICK_MS, [this] { tickets_.tick(); });
+    loop_.every(DESK_TICK_MS, [this] {
+        tickets_.tick();
+        tellFall();
+    });
     loop_.every(SHED_PERIOD_MS, [this] { tickets_.shedOverload(); });
     loop_.every(REPAIR_PERIOD_MS, [this] { repairConfig(); });
     store_.onPolled = [this] { updateReady(); };
@@ -281,6 +285,19 @@
     links_.broadcast(changed);
 }
 
+/// Tells the peers at once when the own engines' load has fallen much, since the bound falls with the mean.
+void Fleet::tellFall()
+{
+    int told = 0;
+    int current = 0;
+    for (std::size_t slot = 0; slot < roster_.size(); ++slot) {
+        told += std::max(0, sentLoads_[slot]);
+        current += tickets_.desk().load(roster_[slot]);
+    }
+    if (current < told && current <= URGENT_SHARE * told)
+        sendHeartbeat();
+}
+
 Roster Fleet::ownRoster() const { return { isReady_, isLeaving_, book_.digest(), roster_ }; }
 
 std::vector<NodeKey> Fleet::openEngines() const
--- a/src/goldcrestcleat/fleet/Fleet.h
+++ b/src/goldcrestcleat/fleet/Fleet.h
@@ -81,6 +81,7 @@
     void updateHomes();
     void updateReady();
     void sendHeartbeat();
+    void tellFall();
     Loads changedLoads();
     Roster ownRoster() const;
     Loads allLoads() const;
--- a/src/goldcrestcleat/routing/TicketDesk.cpp
+++ b/src/goldcrestcleat/routing/TicketDesk.cpp
@@ -8,7 +8,7 @@
 namespace {
 
     constexpr loop::TimeMs LOST_TICKET_MS = 30'000; // an engine without reports is believed free of them after this
-    constexpr int EXPECTED_DEPARTURES = 2; // requests that finish elsewhere while work is being moved
+    constexpr int EXPECTED_DEPARTURES = 3; // requests that finish elsewhere while work is being moved
     constexpr double HOLD_SMOOTHING = 0.1;
 
 } // namespace
@@ -55,7 +55,7 @@
     }
     // An ask that can't be served within its wait is denied at once, so that its holder looks elsewhere.
     const double turnMs = engine.meanHoldMs / std::max(1, countOf(engine));
-    const bool hopeless = turnMs * static_cast<double>(engine.queue.size() + 1) > static_cast<double>(ask.waitMs);
+    const bool hopeless = turnMs * static_cast<double>(engine.queue.size()) > static_cast<double>(ask.waitMs);
     if (ask.waitMs <= 0 || (hopeless && now >= engine.settledAt)) {
         deny(ask.engine, ask);
         return;
