Prove upstream, operator and planned-stop promises; blame a crash on the only suspect

Failing first: twelve neighbours with the same content streamed while a poisonous request crashed two engines; two of the neighbours were refused with 2004. Cause, from their explanations: requests with equal content share a fingerprint, and two crashes beside the poisonous request banned it. Ruled out: the retry budget and the one-suspect rule of the desk. A suspicion now says whether the request was the engine's only suspect; a second crash bans such a request, and three crashes ban one that never was.

--- a/src/goldcrestcleat/admission/Quarantine.cpp
+++ b/src/goldcrestcleat/admission/Quarantine.cpp
@@ -19,11 +19,12 @@
         dropOldest();
     Entry& entry = entries_[suspicion.fingerprint];
     if (now - entry.lastAt > MEMORY_MS)
-        entry.crashes.clear();
+        entry = {};
     const bool known = std::find(entry.crashes.begin(), entry.crashes.end(), suspicion.crashId) != entry.crashes.end();
     if (known)
         return false;
     entry.crashes.push_back(suspicion.crashId);
+    entry.wasSuspect = entry.wasSuspect || suspicion.wasSuspect;
     entry.lastAt = now;
     assert(entries_.size() <= MAX_ENTRIES);
     return true;
@@ -37,7 +38,7 @@
 bool Quarantine::isBanned(Fingerprint fingerprint, loop::TimeMs now) const
 {
     const Entry* entry = fresh(fingerprint, now);
-    return entry && entry->crashes.size() >= CRASHES_TO_BAN;
+    return entry && entry->crashes.size() >= (entry->wasSuspect ? CRASHES_TO_BAN_SUSPECT : CRASHES_TO_BAN);
 }
 
 std::vector<Suspicion> Quarantine::current(loop::TimeMs now) const
@@ -47,7 +48,7 @@
         if (now - entry.lastAt > MEMORY_MS)
             continue;
         for (const auto crash : entry.crashes)
-            all.push_back({ fingerprint, crash });
+            all.push_back({ fingerprint, crash, entry.wasSuspect });
     }
     return all;
 }
--- a/src/goldcrestcleat/admission/Quarantine.h
+++ b/src/goldcrestcleat/admission/Quarantine.h
@@ -18,17 +18,22 @@
 struct Suspicion {
     Fingerprint fingerprint = 0;
     std::uint64_t crashId = 0; ///< hash of the upstream and the run that ended
+    bool wasSuspect = false; ///< it ran as a suspect, so that no other suspect can be to blame
 
     friend bool operator==(const Suspicion& a, const Suspicion& b)
     {
-        return a.fingerprint == b.fingerprint && a.crashId == b.crashId;
+        return a.fingerprint == b.fingerprint && a.crashId == b.crashId && a.wasSuspect == b.wasSuspect;
     }
 };
 
-/// Counts the crashes that requests took part in; two of them ban a request for a time.
+/// Counts the crashes that requests took part in, and bans a request for a time.
+///
+/// A request that crashes an upstream a second time, as its only suspect, is banned. Without having been the
+/// only suspect it takes three crashes, since requests with the same content may just have been neighbours.
 class Quarantine {
 public:
-    static constexpr std::size_t CRASHES_TO_BAN = 2;
+    static constexpr std::size_t CRASHES_TO_BAN_SUSPECT = 2;
+    static constexpr std::size_t CRASHES_TO_BAN = 3;
     static constexpr loop::TimeMs MEMORY_MS = 600'000;
     static constexpr std::size_t MAX_ENTRIES = 10'000;
 
@@ -46,6 +51,7 @@
 private:
     struct Entry {
         std::vector<std::uint64_t> crashes;
+        bool wasSuspect = false; // in one of the crashes
         loop::TimeMs lastAt = 0;
     };
 
--- a/src/goldcrestcleat/fleet/PeerMessages.cpp
+++ b/src/goldcrestcleat/fleet/PeerMessages.cpp
@@ -56,7 +56,7 @@
     {
         json array = json::array();
         for (const auto& s : m.suspicions)
-            array.push_back({ s.fingerprint, s.crashId });
+            array.push_back({ s.fingerprint, s.crashId, s.wasSuspect });
         return array;
     }
 
@@ -132,7 +132,7 @@
     {
         Suspects m;
         for (std::size_t i = 1; i < a.size(); ++i)
-            m.suspicions.push_back({ read<std::uint64_t>(a[i], 0), read<std::uint64_t>(a[i], 1) });
+            m.suspicions.push_back({ read<std::uint64_t>(a[i], 0), read<std::uint64_t>(a[i], 1), read<bool>(a[i], 2) });
         return m;
     }
 
--- a/src/goldcrestcleat/requests/ChatRequest.cpp
+++ b/src/goldcrestcleat/requests/ChatRequest.cpp
@@ -123,7 +123,7 @@
     request.workspace = static_cast<std::uint16_t>(routing::nodeKey(call_.workspace->id));
     request.cost = call_.profile.cost;
     request.weight = call_.workspace->weight * priorityFactor(call_.profile.priority);
-    request.suspect = env_.quarantine.isSuspect(call_.fingerprint, env_.loop.now());
+    request.suspect = placedAsSuspect_ = env_.quarantine.isSuspect(call_.fingerprint, env_.loop.now());
     if (choice.isWarm) {
         const double patience = 2 * env_.settings.routing.reuseWeight;
         request.waitMs = std::min(
@@ -189,6 +189,7 @@
     attempt_.engine = engine;
     attempt_.ticket = ticket;
     attempt_.resumedAt = forwarded_;
+    attempt_.isSuspect = placedAsSuspect_;
     if (firstAttemptId_.empty()) {
         firstAttemptId_ = attempt_.id;
         env_.metrics.onAddedLatency(static_cast<double>(env_.loop.now() - arrivedAt_));
@@ -368,7 +369,7 @@
             if (!answer.isAlive)
                 self->env_.directory.onContactFailed(engine, self->env_.loop.now());
             self->explain("engine-crashed", { { "engine", self->engineId(engine) } });
-            self->env_.fleet.suspect({ { self->call_.fingerprint, crashIdOf(engine, run) } });
+            self->env_.fleet.suspect({ { self->call_.fingerprint, crashIdOf(engine, run), self->attempt_.isSuspect } });
             self->retryElsewhere("crash");
             return;
         }
--- a/src/goldcrestcleat/requests/ChatRequest.h
+++ b/src/goldcrestcleat/requests/ChatRequest.h
@@ -59,6 +59,7 @@
         std::string contentType;
         std::size_t resumedAt = 0;
         bool sawFinish = false;
+        bool isSuspect = false; ///< the engine runs no other suspect beside it
     };
 
     void place();
@@ -103,6 +104,7 @@
     int retries_ = 0;
     bool wasSent_ = false;
     bool isMoving_ = false;
+    bool placedAsSuspect_ = false;
     bool isEnded_ = false;
     routing::TicketId pendingTicket_ = 0;
     Attempt attempt_;
--- /dev/null
+++ b/tests/fleet/operator_test.cpp
@@ -0,0 +1,233 @@
+#include "harness/Rig.h"
+
+#include <criterion/criterion.h>
+
+#include <future>
+#include <set>
+
+using namespace goldcrestcleat::harness;
+using nlohmann::json;
+
+namespace {
+
+constexpr int IN_FORCE_WITHIN_MS = 8'000; // the stated promise
+
+json profileDocument(int deadlineMs) { return { { "name", "quick" }, { "deadlineMs", deadlineMs } }; }
+
+Answer publish(Rig& rig, int daemon, int deadlineMs, const std::string& changeId, const json& more = json::object())
+{
+    json body = { { "profile", profileDocument(deadlineMs) }, { "changeId", changeId } };
+    body.update(more);
+    return rig.admin(daemon, "POST", "/admin/profiles", body);
+}
+
+/// Returns the version and the deadline of the profile "quick" at a daemon; zeros without it.
+std::pair<int, int> inForce(Rig& rig, int daemon)
+{
+    const json answer = rig.admin(daemon, "GET", "/admin/profiles").json();
+    if (!answer.is_object())
+        return { 0, 0 }; // the daemon is starting
+    for (const auto& profile : answer.value("profiles", json::array())) {
+        if (profile["name"] == "quick")
+            return { profile["version"], profile["deadlineMs"] };
+    }
+    return { 0, 0 };
+}
+
+bool everywhere(Rig& rig, std::pair<int, int> expected, const std::vector<int>& daemons = { 0, 1, 2, 3, 4 })
+{
+    return eventually(
+        [&] {
+            for (const int daemon : daemons) {
+                if (inForce(rig, daemon) != expected)
+                    return false;
+            }
+            return true;
+        },
+        IN_FORCE_WITHIN_MS);
+}
+
+} // namespace
+
+Test(profiles, a_published_profile_is_in_force_everywhere_and_audited)
+{
+    Rig rig({});
+    rig.start();
+    const auto first = publish(rig, 1, 1000, "c1");
+    cr_assert_eq(first.status, 200, "%s", first.body.c_str());
+    cr_assert(everywhere(rig, { 1, 1000 }));
+    const auto repeat = publish(rig, 3, 1000, "c1");
+    cr_assert_eq(repeat.json()["version"], 1);
+    cr_assert(repeat.json()["repeated"].get<bool>());
+    cr_assert_eq(publish(rig, 3, 1500, "c1").errorCode(), 1014, "the same change id with another content");
+    cr_assert_eq(publish(rig, 2, 2000, "c2").json()["version"], 2);
+    cr_assert(everywhere(rig, { 2, 2000 }));
+    const json audit = rig.admin(4, "GET", "/admin/audit").json()["audit"];
+    cr_assert_eq(audit.size(), 2);
+    cr_assert(audit[1]["operator"] == "ops" && audit[1]["fromVersion"] == 1 && audit[1]["toVersion"] == 2
+        && audit[1]["changeId"] == "c2");
+}
+
+Test(profiles, faults_are_told_at_once_and_a_dry_run_changes_nothing)
+{
+    Rig rig({});
+    rig.start();
+    const json bad = { { "name", "quick" }, { "priority", 7 }, { "deadlineMs", "soon" }, { "colour", "red" } };
+    const auto refused = rig.admin(0, "POST", "/admin/profiles", { { "profile", bad }, { "changeId", "c" } });
+    cr_assert_eq(refused.errorCode(), 5003);
+    for (const char* pointer : { "/priority", "/deadlineMs", "/colour" })
+        cr_assert(refused.body.find(pointer) != std::string::npos, "%s", refused.body.c_str());
+    const auto dry = publish(rig, 0, 700, "d", { { "dryRun", true } });
+    cr_assert_eq(dry.json()["changes"]["deadlineMs"]["to"], 700);
+    cr_assert(inForce(rig, 0) == std::make_pair(0, 0));
+}
+
+Test(profiles, racing_operators_have_one_winner_and_the_losers_learn_its_version)
+{
+    Rig rig({});
+    rig.start();
+    cr_assert_eq(publish(rig, 0, 500, "base").status, 200);
+    for (int round = 1; round <= 5; ++round) {
+        std::vector<std::future<Answer>> racers;
+        for (int daemon = 0; daemon < 5; ++daemon) {
+            racers.push_back(std::async(std::launch::async, [&rig, daemon, round] {
+                return publish(rig, daemon, 1000 * round + daemon,
+                    "r" + std::to_string(round) + "-" + std::to_string(daemon), { { "expectedVersion", round } });
+            }));
+        }
+        int winners = 0;
+        int deadline = 0;
+        for (int daemon = 0; daemon < 5; ++daemon) {
+            const auto answer = racers[static_cast<std::size_t>(daemon)].get();
+            if (answer.status == 200) {
+                ++winners;
+                deadline = 1000 * round + daemon;
+                cr_assert_eq(answer.json()["version"], round + 1);
+            } else {
+                cr_assert_eq(answer.errorCode(), 5002, "%s", answer.body.c_str());
+                cr_assert(answer.body.find("version " + std::to_string(round + 1)) != std::string::npos, "%s",
+                    answer.body.c_str());
+            }
+        }
+        cr_assert_eq(winners, 1);
+        cr_assert(everywhere(rig, { round + 1, deadline }));
+    }
+}
+
+Test(profiles, a_lost_reply_is_settled_without_a_second_version)
+{
+    Rig rig({});
+    rig.start();
+    rig.setPlatformFaults({ { "dropPrefix", "config/" }, { "dropReplyNext", 1 } });
+    const auto answer = publish(rig, 0, 900, "lost");
+    cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+    cr_assert_eq(answer.json()["version"], 1);
+    cr_assert(everywhere(rig, { 1, 900 }));
+}
+
+Test(profiles, an_accepted_profile_survives_an_outage_and_a_replaced_vm_starts_with_it)
+{
+    Rig rig({});
+    rig.start();
+    rig.setPlatformFaults({ { "downAfterCommit", 1 } });
+    cr_assert_eq(publish(rig, 0, 800, "o1").status, 200);
+    cr_assert(everywhere(rig, { 1, 800 }), "by the peers alone");
+    const auto refused = publish(rig, 1, 801, "o2");
+    cr_assert_eq(refused.errorCode(), 4001, "%s", refused.body.c_str());
+    rig.daemon(2).kill();
+    rig.startDaemon(2);
+    cr_assert(everywhere(rig, { 1, 800 }, { 2 }), "the replaced VM learns it from its peers");
+    cr_assert(rig.waitForFleet(4), "and serves");
+    rig.setPlatformFaults({ { "down", 0 } });
+    cr_assert_eq(publish(rig, 2, 802, "o3").status, 200);
+    cr_assert(everywhere(rig, { 2, 802 }));
+}
+
+Test(profiles, a_daemon_that_was_frozen_during_a_change_catches_up_and_reverts_nobody)
+{
+    Rig rig({});
+    rig.start();
+    cr_assert_eq(publish(rig, 0, 500, "f1").status, 200);
+    cr_assert(everywhere(rig, { 1, 500 }));
+    rig.daemon(3).freeze();
+    cr_assert_eq(publish(rig, 0, 600, "f2").status, 200);
+    sleepMs(2500);
+    rig.daemon(3).thaw();
+    cr_assert(everywhere(rig, { 2, 600 }));
+    sleepMs(1500);
+    cr_assert(everywhere(rig, { 2, 600 }), "the older copy came back");
+}
+
+Test(planned_stop, two_stops_under_load_cut_no_answer_off)
+{
+    RigOptions options;
+    options.engineFaults = { { "tokenMs", 20 } };
+    Rig rig(options);
+    rig.start();
+    std::vector<std::future<std::string>> callers;
+    for (int i = 0; i < 20; ++i) {
+        callers.push_back(std::async(std::launch::async, [&rig, i]() -> std::string {
+            Chat chat = rig.chat("stop" + std::to_string(i));
+            const std::string expected = chat.expectedAnswer("a long answer", 60);
+            const auto answer = chat.say(rig.callerAddress(i % 5), "a long answer", 60);
+            if (answer.isWhole && answer.text == expected)
+                return "";
+            return "caller " + std::to_string(i) + " status " + std::to_string(answer.status) + " code "
+                + std::to_string(answer.errorCode);
+        }));
+    }
+    sleepMs(400);
+    rig.setPlatformFaults({ { "down", 1 } });
+    rig.daemon(0).signal(15);
+    rig.daemon(1).signal(15);
+    sleepMs(100);
+    const json entries = call(rig.callerAddress(2), "GET", "/v1/entries?workspace=ws1&chat=x").json();
+    cr_assert_eq(entries["entries"].size(), 3, "the stopping VMs have left the entry list");
+    Chat cached = rig.chat("cached");
+    cr_assert(cached.say(rig.callerAddress(0), "with a cached address", 2).isWhole, "within the time to live");
+    for (auto& caller : callers) {
+        const std::string fault = caller.get();
+        cr_assert(fault.empty(), "%s", fault.c_str());
+    }
+    cr_assert_eq(rig.daemon(0).waitForExit(10'000), 0);
+    cr_assert_eq(rig.daemon(1).waitForExit(10'000), 0);
+}
+
+Test(planned_stop, operators_plan_and_cancel_it_from_any_daemon)
+{
+    RigOptions options;
+    options.settings = { { "timeouts", { { "entryTtlMs", 1500 } } } };
+    Rig rig(options);
+    rig.start();
+    const auto change = [&](const std::string& vm, const std::string& action, const std::string& id) {
+        return rig.admin(0, "POST", "/admin/stops", { { "id", vm }, { "action", action }, { "changeId", id } });
+    };
+    cr_assert_eq(change("vm3", "plan", "s1").status, 200);
+    const auto entryCount = [&] {
+        return call(rig.callerAddress(0), "GET", "/v1/entries?workspace=ws1&chat=x").json()["entries"].size();
+    };
+    cr_assert(eventually([&] { return entryCount() == 4; }));
+    cr_assert_eq(change("vm3", "cancel", "s2").status, 200);
+    cr_assert(eventually([&] { return entryCount() == 5; }));
+    cr_assert(rig.daemon(2).isRunning());
+    cr_assert_eq(change("vm3", "plan", "s3").status, 200);
+    cr_assert_eq(rig.daemon(2).waitForExit(10'000), 0);
+    rig.startDaemon(2);
+    cr_assert(rig.waitForFleet(4), "a VM that starts again does not stop for the old plan");
+    cr_assert_eq(change("vm9", "plan", "s4").errorCode(), 1015);
+}
+
+Test(explain, tells_where_a_request_ran_and_why)
+{
+    Rig rig({});
+    rig.start();
+    Chat chat = rig.chat("explained");
+    const auto answer = chat.say(rig.callerAddress(0), "hello", 2);
+    const std::string id = answer.headers.at("X-Request-Id");
+    const json record = rig.admin(0, "GET", "/admin/explain?request=" + id).json();
+    cr_assert(record["chat"] == "explained");
+    cr_assert(record["steps"][0]["step"] == "placed");
+    cr_assert(record["steps"][0]["engine"] == chat.servedBy());
+    cr_assert_eq(rig.admin(0, "GET", "/admin/explain?chat=explained").json().size(), 1);
+    cr_assert_eq(rig.admin(0, "GET", "/admin/explain?request=none").errorCode(), 5006);
+}
--- /dev/null
+++ b/tests/fleet/upstream_test.cpp
@@ -0,0 +1,191 @@
+#include "harness/Rig.h"
+
+#include <criterion/criterion.h>
+
+#include <future>
+
+using namespace goldcrestcleat::harness;
+using nlohmann::json;
+
+namespace {
+
+constexpr int NO_NEW_WORK_AFTER_MS = 3'000; // the stated promise
+
+/// Sends small chats for a while and returns how many starts an engine logged after `allowedMs`.
+int startsAfter(Rig& rig, int engine, int allowedMs, int forMs, const std::vector<int>& daemons)
+{
+    sleepMs(allowedMs);
+    const auto before = rig.truth(Rig::engineId(engine)).size();
+    for (int sent = 0, elapsedMs = 0; elapsedMs < forMs; ++sent, elapsedMs += 20) {
+        Chat chat = rig.chat("after" + std::to_string(sent));
+        const auto answer
+            = chat.say(rig.callerAddress(daemons[static_cast<std::size_t>(sent) % daemons.size()]), "hello", 1);
+        cr_assert(answer.isWhole, "status %d code %d", answer.status, answer.errorCode);
+    }
+    const auto lines = rig.truth(Rig::engineId(engine));
+    int starts = 0;
+    for (std::size_t i = before; i < lines.size(); ++i)
+        starts += lines[i]["event"] == "start";
+    return starts;
+}
+
+Answer retire(Rig& rig, int daemon, const std::string& id, const std::string& action, const std::string& changeId)
+{
+    return rig.admin(
+        daemon, "POST", "/admin/upstreams", { { "id", id }, { "action", action }, { "changeId", changeId } });
+}
+
+bool takesWork(Rig& rig, int daemon, const std::string& id)
+{
+    const json status = rig.admin(daemon, "GET", "/admin/status").json();
+    for (const auto& upstream : status["upstreams"]) {
+        if (upstream["id"] == id)
+            return upstream["takesWork"];
+    }
+    return false;
+}
+
+} // namespace
+
+Test(leaving, a_retired_engine_gets_no_new_work_and_a_restored_one_does)
+{
+    Rig rig({});
+    rig.start();
+    cr_assert_eq(retire(rig, 2, "engine1", "retire", "c1").status, 200);
+    cr_assert_eq(startsAfter(rig, 0, NO_NEW_WORK_AFTER_MS, 1000, { 0, 1, 2, 3, 4 }), 0);
+    cr_assert_eq(retire(rig, 3, "engine1", "restore", "c2").status, 200);
+    cr_assert(eventually([&] { return takesWork(rig, 0, "engine1") && takesWork(rig, 4, "engine1"); }));
+    cr_assert_eq(retire(rig, 0, "engine99", "retire", "c3").errorCode(), 5004);
+}
+
+Test(leaving, an_engine_that_says_it_leaves_gets_no_new_work)
+{
+    Rig rig({});
+    rig.start();
+    rig.setEngineFaults(1, { { "leaving", 1 } });
+    cr_assert_eq(startsAfter(rig, 1, NO_NEW_WORK_AFTER_MS, 1000, { 0, 1, 2, 3, 4 }), 0);
+}
+
+Test(leaving, a_lagging_list_revives_no_leaving_engine)
+{
+    Rig rig({});
+    rig.start();
+    rig.setPlatformFaults(
+        { { "vm", { { "id", "engine1" }, { "kind", "engine" }, { "state", "leaving" }, { "incarnation", 1 } } } });
+    cr_assert_eq(startsAfter(rig, 0, NO_NEW_WORK_AFTER_MS, 600, { 0, 1, 2, 3, 4 }), 0);
+    rig.setPlatformFaults(
+        { { "vm", { { "id", "engine1" }, { "kind", "engine" }, { "state", "live" }, { "incarnation", 1 } } } });
+    cr_assert_eq(
+        startsAfter(rig, 0, NO_NEW_WORK_AFTER_MS, 600, { 0, 1, 2, 3, 4 }), 0, "the same incarnation is old news");
+    rig.setPlatformFaults(
+        { { "vm", { { "id", "engine1" }, { "kind", "engine" }, { "state", "live" }, { "incarnation", 2 } } } });
+    cr_assert(eventually([&] { return takesWork(rig, 0, "engine1"); }));
+}
+
+Test(leaving, a_daemon_cut_from_platform_and_peers_learns_from_the_engine_itself)
+{
+    RigOptions options;
+    options.daemons = 3;
+    Rig rig(options);
+    rig.start();
+    rig.setPlatformFaults({ { "down", 1 } });
+    rig.daemon(1).freeze();
+    rig.daemon(2).freeze();
+    cr_assert(eventually([&] {
+        const json status = rig.admin(0, "GET", "/admin/status").json();
+        return !status["daemons"][1]["up"].get<bool>() && !status["daemons"][2]["up"].get<bool>();
+    }));
+    rig.setEngineFaults(2, { { "leaving", 1 } });
+    cr_assert_eq(startsAfter(rig, 2, NO_NEW_WORK_AFTER_MS, 600, { 0 }), 0);
+    rig.daemon(1).thaw();
+    rig.daemon(2).thaw();
+}
+
+Test(leaving, a_new_engine_from_the_list_gets_work)
+{
+    RigOptions options;
+    options.engines = 2;
+    options.settings = { { "routing", { { "reuseWeight", 0 } } } };
+    Rig rig(options);
+    rig.start();
+    RigOptions other;
+    other.daemons = 0;
+    other.engines = 1;
+    other.services = 0;
+    Rig newcomer(other);
+    newcomer.start();
+    rig.setPlatformFaults({ { "vm",
+        { { "id", "engine77" }, { "kind", "engine" }, { "state", "live" }, { "incarnation", 1 },
+            { "address", newcomer.engineAddress(0) }, { "model", "assistant" }, { "dataCentre", "dc1" } } } });
+    cr_assert(eventually([&] { return takesWork(rig, 0, "engine77"); }));
+    cr_assert(eventually([&] {
+        for (int i = 0; i < 8; ++i)
+            rig.chat("n" + std::to_string(rand())).say(rig.callerAddress(i % 5), "hello", 1);
+        return !newcomer.truth("engine1").empty();
+    }));
+}
+
+Test(quarantine, a_request_that_crashes_engines_stops_after_two_fleet_wide)
+{
+    RigOptions options;
+    options.engines = 6;
+    options.engineFaults = { { "crashOn", "poison pill" }, { "tokenMs", 10 } };
+    options.settings = { { "profiles", json::array({ { { "name", "patient" }, { "retries", 6 } } }) } };
+    Rig rig(options);
+    rig.start();
+    // Neighbours stream while the poisonous request comes.
+    std::vector<std::future<std::string>> neighbours;
+    for (int i = 0; i < 12; ++i) {
+        neighbours.push_back(std::async(std::launch::async, [&rig, i]() -> std::string {
+            Chat chat = rig.chat("neighbour" + std::to_string(i));
+            const std::string expected = chat.expectedAnswer("harmless", 100);
+            const auto answer = chat.say(rig.callerAddress(i % 5), "harmless", 100, { { "X-Profile", "patient" } });
+            if (answer.isWhole && answer.text == expected)
+                return "";
+            const json why = rig.admin(i % 5, "GET", "/admin/explain?chat=neighbour" + std::to_string(i)).json();
+            return std::to_string(answer.status) + " code " + std::to_string(answer.errorCode) + " " + why.dump();
+        }));
+    }
+    sleepMs(300);
+    Chat poisoned = rig.chat("bad");
+    const auto first = poisoned.say(rig.callerAddress(0), "a poison pill", 4);
+    cr_assert_eq(first.errorCode, 2004, "status %d code %d", first.status, first.errorCode);
+    cr_assert(first.executed == "unknown");
+    for (int daemon = 0; daemon < 5; ++daemon) {
+        const auto again = poisoned.say(rig.callerAddress(daemon), "a poison pill", 4);
+        cr_assert_eq(again.errorCode, 2004);
+        cr_assert(again.executed == "no");
+    }
+    int crashes = 0;
+    for (int i = 0; i < 6; ++i) {
+        for (const auto& line : rig.truth(Rig::engineId(i)))
+            crashes += line["event"] == "crash";
+    }
+    cr_assert_eq(crashes, 2);
+    for (auto& neighbour : neighbours) {
+        const std::string fault = neighbour.get();
+        cr_assert(fault.empty(), "a neighbour of the poisonous request lost its answer: %s", fault.c_str());
+    }
+}
+
+Test(silent, a_silent_connection_does_not_mark_a_healthy_upstream_as_down)
+{
+    RigOptions options;
+    options.engines = 2;
+    options.settings
+        = { { "profiles", json::array({ { { "name", "default" }, { "firstTokenMs", 500 }, { "stallMs", 300 } } }) } };
+    Rig rig(options);
+    rig.start();
+    for (int i = 0; i < 2; ++i)
+        rig.setEngineFaults(i, { { "freezeNext", 1 } });
+    for (int i = 0; i < 4; ++i) {
+        Chat chat = rig.chat("s" + std::to_string(i));
+        const std::string expected = chat.expectedAnswer("hello", 6);
+        const auto answer = chat.say(rig.callerAddress(i), "hello", 6);
+        cr_assert(answer.isWhole && answer.text == expected, "code %d", answer.errorCode);
+    }
+    for (int daemon = 0; daemon < 5; ++daemon) {
+        cr_assert(takesWork(rig, daemon, "engine1"));
+        cr_assert(takesWork(rig, daemon, "engine2"));
+    }
+}
