Add relays that cut or forget connections, and seeded mixes of faults with a checker

A mix runs 60 steps of kills, freezes, cuts, outages, lost and crossed replies and operators' changes under load, undoes them, and checks the callers' records against the truth logs: a key runs once at most, an answered key once exactly, what was told as not run was not run, whole answers are their callers' own, recovery within 5 s, one profile version within 8 s.

--- /dev/null
+++ b/tests/fleet/mixed_faults_test.cpp
@@ -0,0 +1,283 @@
+#include "Workload.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <thread>
+
+using namespace goldcrestcleat::harness;
+using namespace proofs;
+using nlohmann::json;
+
+namespace {
+
+constexpr int STEPS = 60;
+constexpr int STEP_MS = 100;
+constexpr int RECOVERY_MS = 5'000; // the stated time to normal service after the last fault
+constexpr int IN_FORCE_WITHIN_MS = 8'000; // the stated time for a profile
+constexpr int DAEMONS = 5;
+constexpr int ENGINES = 6;
+constexpr int PUBLISH_TIMEOUT_MS = 300; // the daemon may be frozen
+constexpr int CONFIRM_PAUSE_MS = 20; // refusals come fast, and every call is kept for the checks
+
+/// Runs a seeded mix of faults over a rig and undoes them all at the end.
+class FaultMix {
+public:
+    FaultMix(Rig& rig, std::uint64_t seed)
+        : rig_(rig)
+        , random_(seed)
+    {
+    }
+
+    void step(int number)
+    {
+        const int daemon = pick(DAEMONS);
+        const int engine = pick(ENGINES);
+        switch (pick(16)) {
+        case 0:
+            if (runningDaemons() > 2)
+                rig_.daemon(daemon).kill();
+            break;
+        case 1:
+            rig_.daemon(daemon).freeze();
+            frozen_.insert(daemon);
+            break;
+        case 2:
+            thawAll();
+            break;
+        case 3:
+            restartDaemons();
+            break;
+        case 4:
+            rig_.engine(engine).kill();
+            break;
+        case 5:
+        case 6:
+            restartEngines();
+            break;
+        case 7:
+            rig_.setPlatformFaults({ { "down", 1 } });
+            break;
+        case 8:
+            rig_.setPlatformFaults({ { "down", 0 }, { "silent", 0 }, { "delayMs", pick(100) } });
+            break;
+        case 9:
+            rig_.setPlatformFaults({ { "dropReplyNext", 1 + pick(3) } });
+            break;
+        case 10:
+            rig_.setPeerPaths(daemon, pick(2) ? RelayMode::Silent : RelayMode::Closed);
+            break;
+        case 11:
+            healPaths();
+            break;
+        case 12:
+            rig_.engineRelay(engine).forgetConnections();
+            rig_.platformRelay(daemon).forgetConnections();
+            break;
+        case 13:
+            rig_.setServiceFaults(pick(2), { { pick(2) ? "dropReplyNext" : "crossNext", 1 } });
+            break;
+        case 14:
+            rig_.setEngineFaults(engine, { { pick(2) ? "crossNext" : "truncateStreams", 1 }, { "truncateAfter", 4 } });
+            break;
+        default:
+            publish(daemon, number);
+            break;
+        }
+    }
+
+    void undoAll()
+    {
+        thawAll();
+        healPaths();
+        rig_.setPlatformFaults({ { "down", 0 }, { "silent", 0 }, { "delayMs", 0 }, { "dropReplyNext", 0 } });
+        for (int i = 0; i < 2; ++i)
+            rig_.setServiceFaults(i, { { "dropReplyNext", 0 }, { "crossNext", 0 } });
+        restartEngines();
+        for (int i = 0; i < ENGINES; ++i)
+            rig_.setEngineFaults(i, { { "crossNext", 0 }, { "truncateStreams", 0 } });
+        restartDaemons();
+    }
+
+private:
+    void publish(int daemon, int number)
+    {
+        const json body = { { "profile", { { "name", "mix" }, { "deadlineMs", 1000 + number } } },
+            { "changeId", "mix" + std::to_string(number) } };
+        call(rig_.adminAddress(daemon), "POST", "/admin/profiles", body.dump(),
+            { { "Authorization", "Bearer " + Rig::operatorToken() } }, PUBLISH_TIMEOUT_MS);
+    }
+
+    int pick(int count) { return static_cast<int>(random_() % static_cast<std::uint64_t>(count)); }
+
+    int runningDaemons()
+    {
+        int running = 0;
+        for (int i = 0; i < DAEMONS; ++i)
+            running += rig_.daemon(i).isRunning() && frozen_.count(i) == 0;
+        return running;
+    }
+
+    void thawAll()
+    {
+        for (const int daemon : frozen_)
+            rig_.daemon(daemon).thaw();
+        frozen_.clear();
+    }
+
+    void restartDaemons()
+    {
+        for (int i = 0; i < DAEMONS; ++i) {
+            if (!rig_.daemon(i).isRunning())
+                rig_.startDaemon(i);
+        }
+    }
+
+    void restartEngines()
+    {
+        for (int i = 0; i < ENGINES; ++i) {
+            if (!rig_.engine(i).isRunning())
+                rig_.startEngine(i, json::object());
+        }
+    }
+
+    void healPaths()
+    {
+        for (int i = 0; i < DAEMONS; ++i)
+            rig_.setPeerPaths(i, RelayMode::Open);
+    }
+
+    Rig& rig_;
+    std::mt19937_64 random_;
+    std::set<int> frozen_;
+};
+
+int mixVersion(Rig& rig, int daemon)
+{
+    const json answer = call(rig.adminAddress(daemon), "GET", "/admin/profiles", "",
+        { { "Authorization", "Bearer " + Rig::operatorToken() } }, 300)
+                            .json();
+    if (!answer.is_object() || !answer.contains("profiles"))
+        return -1;
+    for (const auto& profile : answer["profiles"]) {
+        if (profile["name"] == "mix")
+            return profile["version"];
+    }
+    return 0;
+}
+
+/// Returns the last messages of all conversations that an engine began to answer.
+std::set<std::string> begunMessages(Rig& rig)
+{
+    std::set<std::string> begun;
+    for (int i = 0; i < ENGINES; ++i) {
+        for (const auto& line : rig.truth(Rig::engineId(i))) {
+            if (line["event"] == "start")
+                begun.insert(line["text"].get<std::string>());
+        }
+    }
+    return begun;
+}
+
+/// Runs one mix and returns all violations.
+std::vector<std::string> runMix(std::uint64_t seed)
+{
+    RigOptions options;
+    options.engines = ENGINES;
+    options.relays = true;
+    options.settings = { { "profiles",
+        json::array({ { { "name", "default" }, { "firstTokenMs", 1000 }, { "stallMs", 500 }, { "deadlineMs", 5000 },
+            { "retries", 4 } } }) } };
+    Rig rig(options);
+    rig.start();
+    Workload workload(rig);
+    FaultMix faults(rig, seed);
+    std::atomic<bool> stop { false };
+    std::atomic<int> number { 0 };
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([&, i] {
+            while (!stop) {
+                const int own = number++;
+                if (i % 2) {
+                    workload.confirm(own, own % DAEMONS);
+                    sleepMs(CONFIRM_PAUSE_MS);
+                } else {
+                    workload.talk(own, own % DAEMONS);
+                }
+            }
+        });
+    }
+    for (int step = 0; step < STEPS; ++step) {
+        faults.step(step);
+        sleepMs(STEP_MS);
+    }
+    faults.undoAll();
+    std::vector<std::string> violations;
+    if (!rig.waitForFleet(DAEMONS - 1, RECOVERY_MS))
+        violations.push_back("the fleet has not recovered in time");
+    stop = true;
+    for (auto& caller : callers)
+        caller.join();
+    const auto agree = [&] {
+        const int first = mixVersion(rig, 0);
+        for (int i = 1; i < DAEMONS; ++i) {
+            if (mixVersion(rig, i) != first)
+                return false;
+        }
+        return first >= 0;
+    };
+    if (!eventually(agree, IN_FORCE_WITHIN_MS))
+        violations.push_back("daemons have different versions of a profile");
+    Workload after(rig);
+    for (int i = 0; i < 10; ++i) {
+        after.talk(1'000'000 + i, i % DAEMONS);
+        after.confirm(1'000'000 + i, i % DAEMONS);
+    }
+    const auto runs = rig.allRuns();
+    const auto begun = begunMessages(rig);
+    const auto runsOf = [&](const std::string& key) { return runs.count(key) ? runs.at(key) : 0; };
+    const auto wasBegun = [&](const std::string& text) { return begun.count(text) > 0; };
+    for (const Workload* part : { &workload, &after }) {
+        for (const auto& violation : checkKeys(part->keys(), runsOf))
+            violations.push_back(violation);
+        for (const auto& violation : checkChats(part->chats(), wasBegun))
+            violations.push_back(violation);
+    }
+    for (const auto& chat : after.chats()) {
+        if (!chat.isWhole)
+            violations.push_back(chat.text + " was not served after the recovery");
+    }
+    for (const auto& key : after.keys()) {
+        if (key.bodies.size() != 1)
+            violations.push_back(key.key + " was not served after the recovery");
+    }
+    std::size_t whole = 0;
+    for (const auto& chat : workload.chats())
+        whole += chat.isWhole;
+    std::printf("seed %llu: %zu keys, %zu chats of which %zu whole, %zu violations\n",
+        static_cast<unsigned long long>(seed), workload.keys().size(), workload.chats().size(), whole,
+        violations.size());
+    std::fflush(stdout);
+    return violations;
+}
+
+} // namespace
+
+Test(mixed_faults, no_promise_breaks_under_seeded_mixes)
+{
+    // MIX_SEED and MIX_COUNT choose other seeds for a full run.
+    const char* firstText = std::getenv("MIX_SEED");
+    const char* countText = std::getenv("MIX_COUNT");
+    const std::uint64_t first = firstText ? std::strtoull(firstText, nullptr, 10) : 1;
+    const std::uint64_t count = countText ? std::strtoull(countText, nullptr, 10) : 3;
+    std::size_t total = 0;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        for (const auto& violation : runMix(seed)) {
+            std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), violation.c_str());
+            ++total;
+        }
+    }
+    cr_assert_eq(total, 0, "%zu violations", total);
+}
--- a/tools/harness/Rig.cpp
+++ b/tools/harness/Rig.cpp
@@ -60,6 +60,7 @@
 Rig::~Rig()
 {
     daemons_.clear();
+    hub_.reset();
     engines_.clear();
     services_.clear();
     platform_.reset();
@@ -86,6 +87,8 @@
         peerAddresses_.push_back(newAddress());
         metricsAddresses_.push_back(newAddress());
     }
+    if (options_.relays)
+        addRelays();
     daemons_.resize(static_cast<std::size_t>(options_.daemons));
     for (int i = 0; i < options_.daemons; ++i) {
         writeSettings(i);
@@ -151,6 +154,14 @@
 
 void Rig::setPlatformFaults(const json& faults) { control(platformAddress_, faults); }
 
+void Rig::setPeerPaths(int daemon, RelayMode mode)
+{
+    for (int other = 0; other < options_.daemons; ++other) {
+        if (other != daemon)
+            peerRelay(daemon, other).setMode(mode);
+    }
+}
+
 Answer Rig::admin(int daemon, const std::string& method, const std::string& target, const json& body) const
 {
     return call(adminAddress(daemon), method, target, method == "POST" ? body.dump() : "",
@@ -181,10 +192,19 @@
 
 int Rig::countRuns(const std::string& key) const
 {
-    int runs = 0;
+    const auto runs = allRuns();
+    const auto found = runs.find(key);
+    return found == runs.end() ? 0 : found->second;
+}
+
+std::map<std::string, int> Rig::allRuns() const
+{
+    std::map<std::string, int> runs;
     for (int i = 0; i < options_.services; ++i) {
-        for (const auto& line : truth(serviceId(i)))
-            runs += line["event"] == "run" && line["key"] == key;
+        for (const auto& line : truth(serviceId(i))) {
+            if (line["event"] == "run")
+                ++runs[line["key"].get<std::string>()];
+        }
     }
     return runs;
 }
@@ -223,16 +243,44 @@
     return probe.address().toString();
 }
 
+void Rig::addRelays()
+{
+    hub_ = std::make_unique<RelayHub>();
+    for (int one = 0; one < options_.daemons; ++one) {
+        for (int other = one + 1; other < options_.daemons; ++other) {
+            peerRelayAddresses_[{ one, other }] = newAddress();
+            peerRelays_[{ one, other }] = &hub_->add(peerRelayAddresses_[{ one, other }], peerAddress(other));
+        }
+        platformRelayAddresses_.push_back(newAddress());
+        platformRelays_.push_back(&hub_->add(platformRelayAddresses_.back(), platformAddress_));
+    }
+    for (int i = 0; i < options_.engines; ++i) {
+        engineRelayAddresses_.push_back(newAddress());
+        engineRelays_.push_back(&hub_->add(engineRelayAddresses_.back(), engineAddress(i)));
+    }
+    hub_->start();
+}
+
+/// Returns the address at which a daemon finds a peer; the smaller one dials.
+std::string Rig::shownPeerAddress(int daemon, int peer) const
+{
+    const auto relay = peerRelayAddresses_.find({ daemon, peer });
+    return relay == peerRelayAddresses_.end() ? peerAddress(peer) : relay->second;
+}
+
 void Rig::writeSettings(int index) const
 {
     json s
         = { { "vm", vmId(index) }, { "adminAddress", adminAddress(index) }, { "metricsAddress", metricsAddress(index) },
-              { "platformAddress", platformAddress_ }, { "fleetSecret", FLEET_SECRET } };
+              { "platformAddress",
+                  options_.relays ? platformRelayAddresses_.at(static_cast<std::size_t>(index)) : platformAddress_ },
+              { "fleetSecret", FLEET_SECRET } };
     for (int i = 0; i < options_.daemons; ++i)
         s["entryVms"].push_back({ { "id", vmId(i) }, { "dataCentre", dataCentre(i) }, { "caller", callerAddress(i) },
-            { "peer", peerAddress(i) } });
+            { "peer", shownPeerAddress(index, i) } });
     for (int i = 0; i < options_.engines; ++i)
-        s["engines"].push_back({ { "id", engineId(i) }, { "address", engineAddress(i) },
+        s["engines"].push_back({ { "id", engineId(i) },
+            { "address", options_.relays ? engineRelayAddresses_.at(static_cast<std::size_t>(i)) : engineAddress(i) },
             { "dataCentre", dataCentre(i) }, { "model", "assistant" } });
     for (int i = 0; i < options_.services; ++i)
         s["services"].push_back({ { "id", serviceId(i) }, { "name", "rota" },
--- a/tools/harness/Rig.h
+++ b/tools/harness/Rig.h
@@ -2,10 +2,13 @@
 
 #include "harness/Caller.h"
 #include "harness/Process.h"
+#include "harness/Relay.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +24,7 @@
     int workspaces = 2;
     nlohmann::json engineFaults = nlohmann::json::object(); ///< switches and speeds of all engines
     nlohmann::json settings = nlohmann::json::object(); ///< merged into each daemon's settings
+    bool relays = false; ///< put relays between daemons, before the platform and before the engines
     std::string binary; ///< of the daemons; the built one when empty
 };
 
@@ -66,6 +70,18 @@
     void setServiceFaults(int index, const nlohmann::json& faults);
     void setPlatformFaults(const nlohmann::json& faults);
 
+    /// Returns the path between two daemons; needs `relays`.
+    Relay& peerRelay(int one, int other) { return *peerRelays_.at({ std::min(one, other), std::max(one, other) }); }
+
+    /// Returns a daemon's path to the platform; needs `relays`.
+    Relay& platformRelay(int daemon) { return *platformRelays_.at(static_cast<std::size_t>(daemon)); }
+
+    /// Returns all daemons' path to an engine; needs `relays`.
+    Relay& engineRelay(int engine) { return *engineRelays_.at(static_cast<std::size_t>(engine)); }
+
+    /// Sets the paths between a daemon and all its peers.
+    void setPeerPaths(int daemon, RelayMode mode);
+
     /// Calls an admin listener with the operator's token.
     Answer admin(
         int daemon, const std::string& method, const std::string& target, const nlohmann::json& body = {}) const;
@@ -80,9 +96,12 @@
     /// Returns the lines of a truth log: "platform", or an engine's or service's id.
     std::vector<nlohmann::json> truth(const std::string& name) const;
 
-    /// Returns all lines of all services' truth logs whose event and key match.
+    /// Returns how often the services ran the action with a key.
     int countRuns(const std::string& key) const;
 
+    /// Returns the runs of all keys.
+    std::map<std::string, int> allRuns() const;
+
     /// Returns the value of a metric line that begins with the text, 0 when there is none.
     double metric(int daemon, const std::string& beginning) const;
 
@@ -92,6 +111,8 @@
     ProcessPtr startStandin(const std::string& kind, const std::string& name, const std::string& address,
         const nlohmann::json& faults, std::string& boundAddress);
     std::string newAddress();
+    void addRelays();
+    std::string shownPeerAddress(int daemon, int peer) const;
     void writeSettings(int index) const;
     static void control(const std::string& address, const nlohmann::json& faults);
 
@@ -110,6 +131,13 @@
     std::vector<std::string> adminAddresses_;
     std::vector<std::string> peerAddresses_;
     std::vector<std::string> metricsAddresses_;
+    std::unique_ptr<RelayHub> hub_;
+    std::map<std::pair<int, int>, Relay*> peerRelays_;
+    std::map<std::pair<int, int>, std::string> peerRelayAddresses_;
+    std::vector<Relay*> platformRelays_;
+    std::vector<std::string> platformRelayAddresses_;
+    std::vector<Relay*> engineRelays_;
+    std::vector<std::string> engineRelayAddresses_;
 };
 
 /// Calls the condition every 20 ms until it holds; false after `timeoutMs`.
