--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -1,1 +1,186 @@
-int main() { return 0; }
+#include "goldcrestcleat/admission/FairQueue.h"
+#include "goldcrestcleat/fleet/ConfigBook.h"
+#include "goldcrestcleat/fleet/Homes.h"
+#include "goldcrestcleat/fleet/PeerMessages.h"
+#include "goldcrestcleat/routing/ChatMemory.h"
+#include "goldcrestcleat/routing/Hint.h"
+#include "goldcrestcleat/routing/Placement.h"
+#include "goldcrestcleat/routing/TicketDesk.h"
+
+#include <benchmark/benchmark.h>
+
+/// Time of single decisions at growing sizes; run with `--benchmark_format=console`.
+
+namespace {
+
+using namespace goldcrestcleat;
+using namespace goldcrestcleat::routing;
+
+LoadView viewOf(int engines)
+{
+    LoadView view(500);
+    for (int i = 0; i < engines; ++i)
+        view.putEngine({ nodeKey("engine" + std::to_string(i)), "m", 64, true });
+    return view;
+}
+
+void placeReturningChat(benchmark::State& state)
+{
+    const auto view = viewOf(static_cast<int>(state.range(0)));
+    std::mt19937_64 random(1);
+    PlacementQuery query;
+    query.model = "m";
+    query.hinted = view.eligible("m").front();
+    for (auto _ : state) {
+        ++query.chat;
+        benchmark::DoNotOptimize(choosePlacement(view, query, random));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void placeNewChat(benchmark::State& state)
+{
+    const auto view = viewOf(static_cast<int>(state.range(0)));
+    std::mt19937_64 random(1);
+    PlacementQuery query;
+    query.model = "m";
+    for (auto _ : state) {
+        ++query.chat;
+        benchmark::DoNotOptimize(choosePlacement(view, query, random));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void placeByLoad(benchmark::State& state)
+{
+    const auto view = viewOf(static_cast<int>(state.range(0)));
+    std::mt19937_64 random(1);
+    PlacementQuery query;
+    query.model = "m";
+    query.tried = { view.eligible("m").front() };
+    for (auto _ : state)
+        benchmark::DoNotOptimize(choosePlacement(view, query, random));
+    state.SetComplexityN(state.range(0));
+}
+
+void grantAndRelease(benchmark::State& state)
+{
+    auto view = viewOf(static_cast<int>(state.range(0)));
+    TicketDesk desk(view, {}, [](const TicketVerdict&) {});
+    const auto keys = view.eligible("m");
+    for (const auto key : keys)
+        desk.open(key, 0, 0);
+    TicketId ticket = 0;
+    for (auto _ : state) {
+        const auto key = keys[++ticket % keys.size()];
+        desk.ask({ key, 1, ticket, 1, 1, 1, 0, false }, ticket);
+        desk.release(key, 1, ticket, ticket);
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void deskTick(benchmark::State& state)
+{
+    auto view = viewOf(static_cast<int>(state.range(0)));
+    TicketDesk desk(view, {}, [](const TicketVerdict&) {});
+    for (const auto key : view.eligible("m"))
+        desk.open(key, 0, 0);
+    loop::TimeMs now = 0;
+    for (auto _ : state) {
+        desk.tick(++now);
+        benchmark::DoNotOptimize(desk.overloaded());
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void changeEngine(benchmark::State& state)
+{
+    auto view = viewOf(static_cast<int>(state.range(0)));
+    bool eligible = false;
+    for (auto _ : state) {
+        view.putEngine({ nodeKey("engine0"), "m", 64, eligible });
+        eligible = !eligible;
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void rememberChat(benchmark::State& state)
+{
+    ChatMemory memory(static_cast<std::size_t>(state.range(0)) * 16);
+    ChatKey chat = 0;
+    for (auto _ : state) {
+        memory.put(++chat, 7);
+        benchmark::DoNotOptimize(memory.find(chat / 2));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void rankHomes(benchmark::State& state)
+{
+    std::vector<NodeKey> daemons;
+    for (int i = 0; i < state.range(0); ++i)
+        daemons.push_back(nodeKey("vm" + std::to_string(i)));
+    fleet::Homes homes;
+    homes.setDaemons(daemons);
+    NodeKey upstream = 0;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(homes.ranked(++upstream));
+    state.SetComplexityN(state.range(0));
+}
+
+void applyConfig(benchmark::State& state)
+{
+    fleet::ConfigBook book;
+    for (int i = 0; i < state.range(0); ++i)
+        book.apply({ "profile", "p" + std::to_string(i), 1, { { "deadlineMs", 1000 } } });
+    std::uint64_t version = 1;
+    for (auto _ : state)
+        book.apply({ "profile", "p0", ++version, { { "deadlineMs", 1000 } } });
+    state.SetComplexityN(state.range(0));
+}
+
+void pushAndPop(benchmark::State& state)
+{
+    admission::FairQueue<int> queue;
+    for (int i = 0; i < state.range(0); ++i)
+        queue.push(static_cast<std::uint64_t>(i % 260), 1, 1, i);
+    for (auto _ : state) {
+        queue.push(7, 1, 1, 1);
+        benchmark::DoNotOptimize(queue.pop());
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+void codeAsk(benchmark::State& state)
+{
+    for (auto _ : state)
+        benchmark::DoNotOptimize(
+            fleet::decode(fleet::encode(fleet::Ask { 70'000, 0xffffffff, 0xffff, 1, 8, 300, false, 0 })));
+}
+
+void sealAndOpenHint(benchmark::State& state)
+{
+    const HintSealer sealer("fleet-secret-for-benches");
+    ChatKey chat = 0;
+    for (auto _ : state) {
+        ++chat;
+        benchmark::DoNotOptimize(sealer.open(chat, sealer.seal(chat, 7)));
+    }
+}
+
+BENCHMARK(placeReturningChat)->Arg(20)->Arg(100)->Arg(600)->Arg(2400)->Complexity();
+BENCHMARK(placeNewChat)->Arg(20)->Arg(100)->Arg(600)->Arg(2400)->Complexity();
+BENCHMARK(placeByLoad)->Arg(20)->Arg(100)->Arg(600)->Arg(2400)->Complexity();
+BENCHMARK(grantAndRelease)->Arg(20)->Arg(100)->Arg(600)->Arg(2400)->Complexity();
+BENCHMARK(deskTick)->Arg(4)->Arg(20)->Arg(100)->Arg(600)->Complexity();
+BENCHMARK(changeEngine)->Arg(20)->Arg(100)->Arg(600)->Arg(2400)->Complexity();
+BENCHMARK(rememberChat)->Arg(1'000)->Arg(10'000)->Arg(100'000)->Arg(1'000'000)->Complexity();
+BENCHMARK(rankHomes)->Arg(5)->Arg(50)->Arg(330)->Arg(1000)->Complexity();
+BENCHMARK(applyConfig)->Arg(10)->Arg(100)->Arg(1'000)->Arg(10'000)->Complexity();
+BENCHMARK(pushAndPop)->Arg(10)->Arg(100)->Arg(1'000)->Arg(10'000)->Complexity();
+BENCHMARK(codeAsk);
+BENCHMARK(sealAndOpenHint);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/src/goldcrestcleat/observe/Digest.cpp
+++ b/src/goldcrestcleat/observe/Digest.cpp
@@ -13,10 +13,8 @@
     /// SHA-256 with the block size and default constructor that Poco's HMAC template asks for.
     class Sha256 : public Poco::SHA2Engine {
     public:
-        enum {
-            BLOCK_SIZE = 64, // NOLINT(readability-identifier-naming): the template asks for these names
-            DIGEST_SIZE = 32
-        }; // NOLINT(readability-identifier-naming)
+        static constexpr int BLOCK_SIZE = 64;
+        static constexpr int DIGEST_SIZE = 32;
     };
 
 } // namespace
--- a/tests/fleet/Workload.h
+++ b/tests/fleet/Workload.h
@@ -30,7 +30,7 @@
     bool isRight = false;
     std::string executed;
     int tries = 0;
-    std::string why; ///< of an answer that is not whole: status, code and the daemon's explanation
+    std::string why = {}; ///< of an answer that is not whole: status, code and the daemon's explanation
 };
 
 /// Returns the violations of the promises on calls that must not repeat. `runs` gives a key's runs at the services.
--- a/tools/harness/Rig.cpp
+++ b/tools/harness/Rig.cpp
@@ -278,9 +278,11 @@
     for (int i = 0; i < options_.daemons; ++i)
         s["entryVms"].push_back({ { "id", vmId(i) }, { "dataCentre", dataCentre(i) }, { "caller", callerAddress(i) },
             { "peer", shownPeerAddress(index, i) } });
-    for (int i = 0; i < options_.engines; ++i)
+    for (int i = 0; i < std::max(options_.engines, options_.engineEntries); ++i)
         s["engines"].push_back({ { "id", engineId(i) },
-            { "address", options_.relays ? engineRelayAddresses_.at(static_cast<std::size_t>(i)) : engineAddress(i) },
+            { "address",
+                options_.relays ? engineRelayAddresses_.at(static_cast<std::size_t>(i % options_.engines))
+                                : engineAddress(i % options_.engines) },
             { "dataCentre", dataCentre(i) }, { "model", "assistant" } });
     for (int i = 0; i < options_.services; ++i)
         s["services"].push_back({ { "id", serviceId(i) }, { "name", "rota" },
--- a/tools/harness/Rig.h
+++ b/tools/harness/Rig.h
@@ -21,6 +21,7 @@
     int daemons = 5;
     int engines = 4;
     int services = 2;
+    int engineEntries = 0; ///< engines in the settings, if more than run; they share the running ones' addresses
     int workspaces = 2;
     nlohmann::json engineFaults = nlohmann::json::object(); ///< switches and speeds of all engines
     nlohmann::json settings = nlohmann::json::object(); ///< merged into each daemon's settings
