--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -100,6 +100,7 @@
     for (auto _ : state) {
         view.putEngine({ nodeKey("engine0"), "m", 64, eligible });
         eligible = !eligible;
+        benchmark::DoNotOptimize(view.hashedEngine("m", 1));
     }
     state.SetComplexityN(state.range(0));
 }
--- a/src/goldcrestcleat/requests/ChatRequest.cpp
+++ b/src/goldcrestcleat/requests/ChatRequest.cpp
@@ -251,8 +251,9 @@
         retryElsewhere("crossed");
         return;
     }
-    if (head.has("X-Run-Id"))
-        env_.directory.onContact(attempt_.engine, head.get("X-Run-Id"));
+    attempt_.run = head.get("X-Run-Id", "");
+    if (!attempt_.run.empty())
+        env_.directory.onContact(attempt_.engine, attempt_.run);
     if (attempt_.resumedAt > 0 && head.get("X-Resume-Position", "") != std::to_string(attempt_.resumedAt))
         refuseWith(ResultCode::AnswerIncomplete, "the engine does not resume");
 }
@@ -359,9 +360,12 @@
     disarmTimer();
     const NodeKey engine = attempt_.engine;
     const auto* upstream = env_.directory.find(engine);
-    const std::string run = upstream ? upstream->run : "";
+    // After a stall only the run that began this answer can be compared: an engine that was started anew some time
+    // ago has not crashed under this request.
+    const bool isStall = reason == "stalled";
+    const std::string run = isStall || !attempt_.run.empty() || !upstream ? attempt_.run : upstream->run;
     const auto self = shared_from_this();
-    env_.prober.probeNow(engine, [self, engine, run, reason](const upstreams::ProbeAnswer& answer) {
+    env_.prober.probeNow(engine, [self, engine, run, reason, isStall](const upstreams::ProbeAnswer& answer) {
         if (self->isEnded_)
             return;
         const bool isNewRun = !run.empty() && !answer.run.empty() && answer.run != run;
@@ -373,7 +377,7 @@
             self->retryElsewhere("crash");
             return;
         }
-        if (self->forwarded_ == 0 && reason == "stalled")
+        if (self->forwarded_ == 0 && isStall)
             self->retryElsewhere("first-token");
         else
             self->resumeHere(reason);
--- a/src/goldcrestcleat/requests/ChatRequest.h
+++ b/src/goldcrestcleat/requests/ChatRequest.h
@@ -58,6 +58,7 @@
         int status = 0;
         std::string contentType;
         std::size_t resumedAt = 0;
+        std::string run; ///< of the engine, as the answer's head tells it
         bool sawFinish = false;
         bool isSuspect = false; ///< the engine runs no other suspect beside it
     };
--- a/src/goldcrestcleat/routing/LoadView.cpp
+++ b/src/goldcrestcleat/routing/LoadView.cpp
@@ -91,7 +91,13 @@
 NodeKey LoadView::hashedEngine(const std::string& model, ChatKey chat) const
 {
     const auto found = models_.find(model);
-    return found == models_.end() ? NO_NODE : found->second.ring.pick(chat);
+    if (found == models_.end())
+        return NO_NODE;
+    const Model& entry = found->second;
+    if (entry.isRingStale)
+        entry.ring = HashRing(entry.eligible);
+    entry.isRingStale = false;
+    return entry.ring.pick(chat);
 }
 
 NodeKey LoadView::leastLoaded(
@@ -148,7 +154,7 @@
         model.totalLoad += entry.load;
     }
     std::sort(model.eligible.begin(), model.eligible.end());
-    model.ring = HashRing(model.eligible);
+    model.isRingStale = true;
     model.minima.clear(); // means over another set of engines can't be compared
     checkInvariants(model);
 }
--- a/src/goldcrestcleat/routing/LoadView.h
+++ b/src/goldcrestcleat/routing/LoadView.h
@@ -71,7 +71,8 @@
 private:
     struct Model {
         std::vector<NodeKey> eligible;
-        HashRing ring;
+        mutable HashRing ring; // built when it is first asked, since engines often change in groups
+        mutable bool isRingStale = true;
         long long totalLoad = 0; // of the eligible engines
         std::deque<std::pair<loop::TimeMs, double>> minima; // rising means, oldest first
     };
