--- a/tests/fleet/mixed_faults_test.cpp
+++ b/tests/fleet/mixed_faults_test.cpp
@@ -87,6 +87,9 @@
         }
     }
 
+    /// Returns the daemons that ended without having been killed.
+    const std::vector<std::string>& crashes() const { return crashes_; }
+
     void undoAll()
     {
         thawAll();
@@ -101,6 +104,15 @@
     }
 
 private:
+    void kill(int daemon)
+    {
+        if (!rig_.daemon(daemon).isRunning())
+            return;
+        rig_.daemon(daemon).kill();
+        killed_.insert(daemon);
+        frozen_.erase(daemon);
+    }
+
     void publish(int daemon, int number)
     {
         const json body = { { "profile", { { "name", "mix" }, { "deadlineMs", 1000 + number } } },
@@ -129,8 +141,12 @@
     void restartDaemons()
     {
         for (int i = 0; i < DAEMONS; ++i) {
-            if (!rig_.daemon(i).isRunning())
-                rig_.startDaemon(i);
+            if (rig_.daemon(i).isRunning())
+                continue;
+            if (killed_.erase(i) == 0)
+                crashes_.push_back(Rig::vmId(i) + " ended by itself with "
+                    + std::to_string(rig_.daemon(i).waitForExit(0)) + ": " + rig_.lastLogLine(i));
+            rig_.startDaemon(i);
         }
     }
 
@@ -151,6 +167,8 @@
     Rig& rig_;
     std::mt19937_64 random_;
     std::set<int> frozen_;
+    std::set<int> killed_;
+    std::vector<std::string> crashes_;
 };
 
 int mixVersion(Rig& rig, int daemon)
@@ -217,6 +235,7 @@
     std::vector<std::string> violations;
     if (!rig.waitForFleet(DAEMONS - 1, RECOVERY_MS))
         violations.push_back("the fleet has not recovered in time");
+    faults.undoAll(); // starts what ended since, and notes it
     stop = true;
     for (auto& caller : callers)
         caller.join();
@@ -253,6 +272,8 @@
         if (key.bodies.size() != 1)
             violations.push_back(key.key + " was not served after the recovery");
     }
+    for (const auto& crash : faults.crashes())
+        violations.push_back(crash);
     std::size_t whole = 0;
     for (const auto& chat : workload.chats())
         whole += chat.isWhole;
--- a/tools/harness/Rig.cpp
+++ b/tools/harness/Rig.cpp
@@ -190,6 +190,15 @@
     return lines;
 }
 
+std::string Rig::lastLogLine(int daemon) const
+{
+    std::ifstream file(folder_ + "/" + vmId(daemon) + ".log");
+    std::string last;
+    for (std::string line; std::getline(file, line);)
+        last = line;
+    return last;
+}
+
 int Rig::countRuns(const std::string& key) const
 {
     const auto runs = allRuns();
--- a/tools/harness/Rig.h
+++ b/tools/harness/Rig.h
@@ -97,6 +97,9 @@
     /// Returns the lines of a truth log: "platform", or an engine's or service's id.
     std::vector<nlohmann::json> truth(const std::string& name) const;
 
+    /// Returns the last line of a daemon's log.
+    std::string lastLogLine(int daemon) const;
+
     /// Returns how often the services ran the action with a key.
     int countRuns(const std::string& key) const;
 
