--- a/tests/fleet/mixed_faults_test.cpp
+++ b/tests/fleet/mixed_faults_test.cpp
@@ -37,7 +37,7 @@
         switch (pick(16)) {
         case 0:
             if (runningDaemons() > 2)
-                rig_.daemon(daemon).kill();
+                kill(daemon);
             break;
         case 1:
             rig_.daemon(daemon).freeze();
