--- a/src/goldcrestcleat/cli/Commands.cpp
+++ b/src/goldcrestcleat/cli/Commands.cpp
@@ -47,12 +47,12 @@
                 "pointer.\n" },
             { "version", "version\n  Prints the version.\n" },
             { "profile",
-                "profile publish --file FILE [--expect VERSION] [--change-id ID] [--dry-run]\nprofile show "
+                "profile publish --file FILE [--expect VERSION] [--change_id ID] [--dry_run]\nprofile show "
                 "NAME\nprofile list\nprofile history NAME\n" },
             { "upstream",
-                "upstream retire ID [--change-id ID]\nupstream restore ID [--change-id ID]\nupstream list\n" },
+                "upstream retire ID [--change_id ID]\nupstream restore ID [--change_id ID]\nupstream list\n" },
             { "stop",
-                "stop plan VM [--change-id ID]\nstop cancel VM [--change-id ID]\nstop status\n  A planned stop leaves "
+                "stop plan VM [--change_id ID]\nstop cancel VM [--change_id ID]\nstop status\n  A planned stop leaves "
                 "the entry lists, serves until every answer is whole and exits.\n" },
             { "status", "status [--json]\n  Shows daemons, upstreams, loads and how fresh each view is.\n" },
             { "audit", "audit [--after NUMBER]\n  Shows who changed what, and when.\n" },
@@ -71,7 +71,7 @@
     std::string text = "goldcrestcleat SUBCOMMAND [FLAGS]\n\n";
     for (const auto& [name, help] : helpTexts())
         text += help;
-    text += "\nOperators' subcommands take --admin IP:PORT and --token-file FILE.\n"
+    text += "\nOperators' subcommands take --admin IP:PORT and --token_file FILE.\n"
             "Exit codes: 0 done, 1 failed, 2 bad usage, 3 bad settings, 4 refused, 5 no daemon answered.\n";
     return text;
 }
--- a/src/goldcrestcleat/cli/OperatorCommands.cpp
+++ b/src/goldcrestcleat/cli/OperatorCommands.cpp
@@ -99,7 +99,7 @@
             body["expectedVersion"] = absl::GetFlag(FLAGS_expect);
         const Reply reply = call("POST", target, body);
         if (reply.status != 200)
-            std::cerr << "change id " << changeId << "; send it again with --change-id if its outcome is unknown\n";
+            std::cerr << "change id " << changeId << "; send it again with --change_id if its outcome is unknown\n";
         return printReply(reply);
     }
 
