Refuse an address that another process listens on

Failing first: the command line's test waited for ever for a second `serve` with the same settings to end with 6009. Cause: POCO's bind with reuseAddress sets SO_REUSEPORT too, so that both daemons listened and shared the callers. Ruled out: the command line's reading of output (each other subcommand ended). The three-argument bind leaves SO_REUSEPORT off; a killed daemon's address can still be taken at once. After: both tests of the command line pass.

--- a/src/goldcrestcleat/loop/Connection.cpp
+++ b/src/goldcrestcleat/loop/Connection.cpp
@@ -217,7 +217,7 @@
     , onAccept_(std::move(onAccept))
 {
     try {
-        socket_.bind(Poco::Net::SocketAddress(address), true);
+        socket_.bind(Poco::Net::SocketAddress(address), /*reuseAddress*/ true, /*reusePort*/ false);
         socket_.listen(LISTEN_BACKLOG);
         socket_.setBlocking(false);
     } catch (const Poco::Exception& e) {
