--- /dev/null
+++ b/bench/Job.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "bench/Trace.h"
+#include "goldcrestcleat/routing/Placement.h"
+#include "goldcrestcleat/routing/TicketDesk.h"
+
+#include <memory>
+
+namespace bench {
+
+using goldcrestcleat::routing::PlacementChoice;
+using goldcrestcleat::routing::PlacementQuery;
+using goldcrestcleat::routing::TicketId;
+
+/// One request on its way.
+struct Job {
+    Turn turn;
+    int daemon = 0;
+    int engine = -1;
+    TicketId ticket = 0;
+    TimeMs arrivedAt = 0;
+    TimeMs endsAt = 0;
+    PlacementQuery query;
+    PlacementChoice choice;
+    int denials = 0;
+    int epoch = 0; // grows with each move, so that an old end is ignored
+};
+using JobPtr = std::shared_ptr<Job>;
+
+} // namespace bench
--- /dev/null
+++ b/bench/Timeline.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "goldcrestcleat/loop/EventLoop.h"
+
+#include <functional>
+#include <queue>
+#include <tuple>
+
+namespace bench {
+
+using goldcrestcleat::loop::TimeMs;
+
+/// Runs tasks in the order of their planned times, without waiting.
+class Timeline {
+public:
+    /// Plans a task; tasks of the same time run in the order in which they were planned.
+    void at(TimeMs when, std::function<void()> task) { events_.push({ when, nextOrder_++, std::move(task) }); }
+
+    /// Runs all tasks, also those that are planned meanwhile; `onTime` is told the time before each.
+    void run(const std::function<void(TimeMs)>& onTime)
+    {
+        while (!events_.empty()) {
+            const Event event = events_.top();
+            events_.pop();
+            onTime(event.at);
+            event.task();
+        }
+    }
+
+private:
+    struct Event {
+        TimeMs at;
+        std::uint64_t order;
+        std::function<void()> task;
+        bool operator<(const Event& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+    };
+
+    std::priority_queue<Event> events_;
+    std::uint64_t nextOrder_ = 0;
+};
+
+} // namespace bench
--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -1,4 +1,7 @@
+#include "bench/FakeEngine.h"
+#include "bench/Job.h"
 #include "bench/Measures.h"
+#include "bench/Timeline.h"
 #include "bench/Trace.h"
 #include "goldcrestcleat/fleet/Homes.h"
 #include "goldcrestcleat/routing/ChatMemory.h"
@@ -9,9 +12,7 @@
 #include <absl/flags/parse.h>
 
 #include <cstdio>
-#include <list>
 #include <memory>
-#include <queue>
 #include <unordered_map>
 
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the first trace");
@@ -46,52 +47,6 @@
 constexpr TimeMs TICK_MS = 20;
 constexpr double STALE_ENTRY_SHARE = 0.05; // callers that come to another daemon than they were told
 
-/// A fake engine: a cache of whole chats in LRU order, and a count of running requests.
-struct FakeEngine {
-    std::list<std::pair<int, int>> order; // chat and tokens, most recent first
-    std::unordered_map<int, std::list<std::pair<int, int>>::iterator> chats;
-    long long tokens = 0;
-    int running = 0;
-
-    int warmTokens(int chat) const
-    {
-        const auto found = chats.find(chat);
-        return found == chats.end() ? 0 : found->second->second;
-    }
-
-    void put(int chat, int size, long long capacity)
-    {
-        const auto found = chats.find(chat);
-        if (found != chats.end()) {
-            tokens -= found->second->second;
-            order.erase(found->second);
-        }
-        order.emplace_front(chat, size);
-        chats[chat] = order.begin();
-        tokens += size;
-        while (tokens > capacity) {
-            tokens -= order.back().second;
-            chats.erase(order.back().first);
-            order.pop_back();
-        }
-    }
-};
-
-/// One request on its way.
-struct Job {
-    Turn turn;
-    int daemon = 0;
-    int engine = -1;
-    TicketId ticket = 0;
-    TimeMs arrivedAt = 0;
-    TimeMs endsAt = 0;
-    PlacementQuery query;
-    PlacementChoice choice;
-    int denials = 0;
-    int epoch = 0; // grows with each move, so that an old end is ignored
-};
-using JobPtr = std::shared_ptr<Job>;
-
 struct Result {
     double reuse = 0;
     Skew skew;
@@ -145,12 +100,7 @@
             for (TimeMs t = 0; t < end; t += TICK_MS)
                 at(t, [this] { tick(); });
         }
-        while (!events_.empty()) {
-            const Event event = events_.top();
-            events_.pop();
-            now_ = event.at;
-            event.task();
-        }
+        timeline_.run([this](TimeMs at) { now_ = at; });
         Result result;
         result.reuse = prefixTokens_ == 0 ? 0 : static_cast<double>(warmTokens_) / static_cast<double>(prefixTokens_);
         result.skew = computeSkew(changes_, ENGINES, end / 10, end, [](int, TimeMs) { return true; });
@@ -160,14 +110,7 @@
     }
 
 private:
-    struct Event {
-        TimeMs at;
-        std::uint64_t order;
-        std::function<void()> task;
-        bool operator<(const Event& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
-    };
-
-    void at(TimeMs when, std::function<void()> task) { events_.push({ when, nextOrder_++, std::move(task) }); }
+    void at(TimeMs when, std::function<void()> task) { timeline_.at(when, std::move(task)); }
 
     LoadView& view(int daemon) { return *views_[static_cast<std::size_t>(daemon)]; }
     TicketDesk& deskOf(int engine)
@@ -415,8 +358,7 @@
     std::map<int, std::vector<JobPtr>> running_;
     std::map<int, NodeKey> hints_;
     int toldSum_[DAEMONS] = {};
-    std::priority_queue<Event> events_;
-    std::uint64_t nextOrder_ = 0;
+    Timeline timeline_;
     TicketId nextTicket_ = 1;
     TimeMs now_ = 0;
     std::vector<LoadChange> changes_;
--- a/tests/fleet/cli_test.cpp
+++ b/tests/fleet/cli_test.cpp
@@ -32,7 +32,7 @@
 
 std::string write(const Rig& rig, const std::string& name, const std::string& text)
 {
-    const std::string path = rig.folder() + "/" + name;
+    std::string path = rig.folder() + "/" + name;
     std::ofstream(path) << text;
     return path;
 }
