Remove result numbers and accessors that nothing uses

2001, 2006 and 3004 were documented and never given out: a full fleet refuses by deadline (2002), a stopping VM closes its listener, and an answer over the limit counts as a failed attempt. The numbers stay unused. Found by reading; the table test passes.

--- a/src/goldcrestcleat/errors/ResultCode.h
+++ b/src/goldcrestcleat/errors/ResultCode.h
@@ -32,18 +32,15 @@
     RequestTimeout = 1016,
     CallerGone = 1017,
 
-    Overloaded = 2001,
     DeadlineUnreachable = 2002,
     WorkspaceLimit = 2003,
     Quarantined = 2004,
     NoUpstream = 2005,
-    Stopping = 2006,
     NotReady = 2007,
 
     UpstreamFailed = 3001,
     UpstreamTimeout = 3002,
     AnswerIncomplete = 3003,
-    AnswerTooLarge = 3004,
 
     StoreUnavailable = 4001,
     ClaimInProgress = 4002,
--- a/src/goldcrestcleat/http/MessageReader.h
+++ b/src/goldcrestcleat/http/MessageReader.h
@@ -45,11 +45,6 @@
     /// Tells the reader that the sender closed; ends a body framed by the end of the stream.
     void endOfStream();
 
-    /// Returns true while a message has begun and not ended.
-    bool inMessage() const { return state_ != State::Head || buffered() > 0; }
-
-    bool inBody() const { return state_ != State::Head && state_ != State::Done && state_ != State::Faulty; }
-
     /// Returns the number of bytes held for later messages.
     std::size_t buffered() const { return buffer_.size() - start_; }
 
--- a/src/goldcrestcleat/http/Server.h
+++ b/src/goldcrestcleat/http/Server.h
@@ -45,9 +45,7 @@
     /// Breaks the connection, so that the caller can see that the answer is not whole.
     void abort();
 
-    bool isAnswered() const { return answered_; }
     bool isStreaming() const { return streaming_; }
-    bool isCallerGone() const { return session_.expired(); }
 
     /// Returns the number of answer bytes that the caller has not taken yet.
     std::size_t backlog() const;
