--- a/src/goldcrestcleat/gateway/AdminGateway.cpp
+++ b/src/goldcrestcleat/gateway/AdminGateway.cpp
@@ -86,6 +86,9 @@
     } catch (const errors::Error& e) {
         env_.log.warn("admin-refused", { { "path", exchange->path() }, { "code", static_cast<int>(e.code()) } });
         requests::refuse(*exchange, { e.code(), e.what(), std::nullopt, 0, false }, "");
+    } catch (const std::exception& e) {
+        env_.log.error("internal-fault", { { "path", exchange->path() }, { "what", e.what() } });
+        requests::refuse(*exchange, { ResultCode::Internal, "", std::nullopt, 0, false }, "");
     }
 }
 
@@ -304,7 +307,9 @@
 
 void AdminGateway::reply(const http::Exchange::Ptr& exchange, const json& body)
 {
-    exchange->reply(200, { { "Content-Type", "application/json" } }, body.dump());
+    // Chat ids come from headers and may hold any bytes.
+    exchange->reply(
+        200, { { "Content-Type", "application/json" } }, body.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 } // namespace goldcrestcleat::gateway
--- a/src/goldcrestcleat/platform/TableClient.cpp
+++ b/src/goldcrestcleat/platform/TableClient.cpp
@@ -121,7 +121,7 @@
     http::Request request;
     request.method = "POST";
     request.target = target;
-    request.body = body.dump();
+    request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
     callOnce(loop_, client_, address_, request, timeoutMs_, http::Client::Reuse::Allowed,
         [onReply = std::move(onReply)](http::FailurePoint point, int status, const std::string& reply) {
             onReply(point != http::FailurePoint::NotSent, status, reply);
--- a/src/goldcrestcleat/requests/Claims.cpp
+++ b/src/goldcrestcleat/requests/Claims.cpp
@@ -17,6 +17,16 @@
     constexpr loop::TimeMs MAX_UPDATE_RETRY_MS = 10'000;
     constexpr std::size_t TOKEN_BYTES = 16;
 
+    /// The table keeps JSON, which holds text in UTF-8 only.
+    bool isUtf8(const std::string& text)
+    {
+        try {
+            return !json(text).dump().empty();
+        } catch (const json::exception&) {
+            return false;
+        }
+    }
+
     json rowValue(const Claim& claim, const char* state)
     {
         return { { "token", claim.token }, { "content", claim.content }, { "state", state } };
@@ -60,7 +70,7 @@
     json value = rowValue(claim, "answered");
     value["status"] = answer.status;
     value["contentType"] = answer.contentType;
-    const bool fits = answer.body.size() <= MAX_STORED_BODY_BYTES;
+    const bool fits = answer.body.size() <= MAX_STORED_BODY_BYTES && isUtf8(answer.body);
     value["body"] = fits ? answer.body : "";
     value["isWhole"] = fits;
     replace(claim, value, /*remove*/ false, UPDATE_TRIES);
--- a/src/goldcrestcleat/requests/Claims.h
+++ b/src/goldcrestcleat/requests/Claims.h
@@ -48,7 +48,7 @@
 public:
     using ResultHook = std::function<void(const ClaimResult&)>;
 
-    /// Larger answers are not kept; repeats are then told that the call has run.
+    /// Larger answers, and those that are no UTF-8 text, are kept without their body.
     static constexpr std::size_t MAX_STORED_BODY_BYTES = 64 * 1024;
 
     Claims(loop::EventLoop& loop, platform::TableClient& table);
--- a/standins/Service.cpp
+++ b/standins/Service.cpp
@@ -49,6 +49,11 @@
                 return;
             }
             std::string attempt = exchange->header("X-Request-Id");
+            if (faults_.take("binaryNext")) {
+                exchange->reply(200, { { "X-Request-Id", attempt }, { "Content-Type", "application/octet-stream" } },
+                    "\xff\xfe binary");
+                return;
+            }
             if (faults_.take("crossNext"))
                 attempt = "another-" + attempt;
             const json body = { { "path", exchange->path() }, { "number", number }, { "echo", exchange->body() } };
--- a/tests/fleet/at_most_once_test.cpp
+++ b/tests/fleet/at_most_once_test.cpp
@@ -151,3 +151,19 @@
     cr_assert(late.status == 200 || late.executed() != "no" || rig.countRuns("frozen") == 0);
     cr_assert_leq(rig.countRuns("frozen"), 1);
 }
+
+Test(at_most_once, an_answer_that_is_no_text_passes_and_its_repeat_is_not_run)
+{
+    Rig rig({});
+    rig.start();
+    for (int i = 0; i < 2; ++i)
+        rig.setServiceFaults(i, { { "binaryNext", 1 } });
+    const auto first = rig.callService(0, "POST", "/confirm", "binary", "{}");
+    cr_assert_eq(first.status, 200);
+    cr_assert(first.body == "\xff\xfe binary");
+    const auto repeat = rig.callService(1, "POST", "/confirm", "binary", "{}");
+    cr_assert_eq(repeat.status, 200);
+    cr_assert_eq(repeat.headers.count("X-Idempotent-Replay"), 1);
+    cr_assert_eq(rig.countRuns("binary"), 1);
+    cr_assert(rig.daemon(0).isRunning());
+}
--- a/tests/fleet/operator_test.cpp
+++ b/tests/fleet/operator_test.cpp
@@ -231,3 +231,13 @@
     cr_assert_eq(rig.admin(0, "GET", "/admin/explain?chat=explained").json().size(), 1);
     cr_assert_eq(rig.admin(0, "GET", "/admin/explain?request=none").errorCode(), 5006);
 }
+
+Test(explain, a_chat_id_of_any_bytes_ends_no_daemon)
+{
+    Rig rig({});
+    rig.start();
+    Chat chat = rig.chat("\xff\xfe");
+    cr_assert(chat.say(rig.callerAddress(0), "hello", 2).isWhole);
+    cr_assert_eq(rig.admin(0, "GET", "/admin/explain?chat=%FF%FE").status, 200);
+    cr_assert(rig.daemon(0).isRunning());
+}
