--- a/src/goldcrestcleat/fleet/PeerMessages.h
+++ b/src/goldcrestcleat/fleet/PeerMessages.h
@@ -19,9 +19,9 @@
 struct Hello {
     std::string vm;
     std::string nonce;
-    std::string dataCentre; ///< this and the addresses are empty where the settings name every VM
-    std::string caller;
-    std::string peer;
+    std::string dataCentre {}; ///< this and the addresses are empty where the settings name every VM
+    std::string caller {};
+    std::string peer {};
 };
 
 /// Second message: proves the fleet secret over the nonce that the other side sent.
