--- a/src/goldcrestcleat/settings/ObjectReader.cpp
+++ b/src/goldcrestcleat/settings/ObjectReader.cpp
@@ -21,26 +21,26 @@
         return !text.empty() && text.size() <= MAX_IDENTIFIER_BYTES && std::all_of(text.begin(), text.end(), allowed);
     }
 
-    bool isAddress(const std::string& text)
-    {
-        const auto colon = text.rfind(':');
-        if (colon == std::string::npos || colon + 1 == text.size())
-            return false;
-        const auto isDigit = [](unsigned char c) { return std::isdigit(c); };
-        if (!std::all_of(text.begin() + static_cast<std::ptrdiff_t>(colon) + 1, text.end(), isDigit))
-            return false;
-        try {
-            const Poco::Net::IPAddress ip(text.substr(0, colon));
-            return std::stoul(text.substr(colon + 1)) <= 65535;
-        } catch (const Poco::Exception&) {
-            return false;
-        } catch (const std::out_of_range&) {
-            return false;
-        }
-    }
-
 } // namespace
 
+bool isSocketAddress(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon + 1 == text.size())
+        return false;
+    const auto isDigit = [](unsigned char c) { return std::isdigit(c); };
+    if (!std::all_of(text.begin() + static_cast<std::ptrdiff_t>(colon) + 1, text.end(), isDigit))
+        return false;
+    try {
+        const Poco::Net::IPAddress ip(text.substr(0, colon));
+        return std::stoul(text.substr(colon + 1)) <= 65535;
+    } catch (const Poco::Exception&) {
+        return false;
+    } catch (const std::out_of_range&) {
+        return false;
+    }
+}
+
 std::string toString(const Fault& fault)
 {
     return std::to_string(static_cast<int>(fault.code)) + " " + errors::info(fault.code).name + " at "
@@ -212,7 +212,7 @@
 std::string ObjectReader::checkedAddress(const std::string& key, std::string value)
 {
     const json* member = find(key);
-    if (member && member->is_string() && !isAddress(value))
+    if (member && member->is_string() && !isSocketAddress(value))
         fault(ResultCode::BadAddress, key, "must be IP:port");
     return value;
 }
--- a/src/goldcrestcleat/settings/ObjectReader.h
+++ b/src/goldcrestcleat/settings/ObjectReader.h
@@ -26,6 +26,9 @@
     }
 };
 
+/// Returns true for IP:port with the IP in numbers.
+bool isSocketAddress(const std::string& text);
+
 /// Returns a fault as one line: number, name, pointer, detail.
 std::string toString(const Fault& fault);
 
--- a/src/goldcrestcleat/upstreams/ServerBook.cpp
+++ b/src/goldcrestcleat/upstreams/ServerBook.cpp
@@ -31,20 +31,14 @@
         = server.key == routing::NO_NODE || server.entry.bornMs != entry.bornMs || server.entry.address != entry.address;
     if (isNewStart) {
         const int ownOpen = server.ownOpen;
-        const int peerOpen = server.peerOpen;
         server = Server();
         server.ownOpen = ownOpen;
-        server.peerOpen = peerOpen;
+        server.peerOpen = reportedOpen(key);
         server.weighedAt = now;
     }
     server.key = key;
     server.entry = entry;
     server.vanishesAt.reset();
-    for (const auto& [peer, open] : peerOpen_) {
-        const auto known = open.find(key);
-        if (known != open.end() && server.peerOpen < known->second)
-            server.peerOpen = known->second;
-    }
 }
 
 void ServerBook::remove(const std::string& id, loop::TimeMs now, loop::TimeMs keepUntil)
@@ -150,6 +144,16 @@
 
 // ---- private ----
 
+int ServerBook::reportedOpen(NodeKey server) const
+{
+    int sum = 0;
+    for (const auto& [peer, open] : peerOpen_) {
+        const auto known = open.find(server);
+        sum += known == open.end() ? 0 : known->second;
+    }
+    return sum;
+}
+
 void ServerBook::weigh(Server& server, loop::TimeMs now) const
 {
     const double halvings
--- a/src/goldcrestcleat/upstreams/ServerBook.h
+++ b/src/goldcrestcleat/upstreams/ServerBook.h
@@ -94,6 +94,7 @@
     const std::map<routing::NodeKey, Server>& all() const { return servers_; }
 
 private:
+    int reportedOpen(routing::NodeKey server) const;
     void weigh(Server& server, loop::TimeMs now) const;
     bool failsMoreThanService(const Server& server, loop::TimeMs now) const;
 
--- /dev/null
+++ b/tests/unit/forwarding_parts_test.cpp
@@ -0,0 +1,81 @@
+#include "goldcrestcleat/admission/Quarantine.h"
+#include "goldcrestcleat/admission/SharedRetryBudget.h"
+#include "goldcrestcleat/forwarding/EventReader.h"
+
+#include <criterion/criterion.h>
+
+using namespace goldcrestcleat;
+using admission::SharedRetryBudget;
+using forwarding::EventReader;
+using forwarding::StreamEvent;
+
+Test(event_reader, events_are_cut_the_same_way_whatever_the_pieces)
+{
+    const std::string bytes = "id: 7\ndata: one\n\nweight-versions: 3\nid:8\ndata: id: 99\n\n: comment\n\nid: x\n\n";
+    for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+        EventReader reader;
+        std::string joined;
+        std::vector<std::optional<std::uint64_t>> ids;
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+            cr_assert(reader.feed(bytes.substr(at, piece), [&](const StreamEvent& event) {
+                joined += event.bytes;
+                ids.push_back(event.id);
+                return true;
+            }));
+        }
+        cr_assert(joined == bytes);
+        cr_assert((ids == std::vector<std::optional<std::uint64_t>> { 7, 8, std::nullopt, std::nullopt }));
+        cr_assert_not(reader.hasPartialEvent());
+    }
+}
+
+Test(event_reader, a_part_of_an_event_is_kept_back)
+{
+    EventReader reader;
+    int events = 0;
+    reader.feed("id: 1\ndata: a\n\nid: 2\nda", [&](const StreamEvent&) { return ++events > 0; });
+    cr_assert_eq(events, 1);
+    cr_assert(reader.hasPartialEvent());
+}
+
+Test(event_reader, an_event_without_end_is_rubbish)
+{
+    EventReader reader;
+    const std::string rubbish(EventReader::MAX_EVENT_BYTES + 1, 'x');
+    cr_assert_not(reader.feed(rubbish, [](const StreamEvent&) { return true; }));
+}
+
+Test(shared_retry_budget, a_daemon_keeps_to_its_part_of_the_window)
+{
+    SharedRetryBudget budget;
+    budget.setRule({ 0.2, 50, 10'000, 5 });
+    int taken = 0;
+    while (budget.tryTake("s", 0))
+        ++taken;
+    cr_assert_eq(taken, 8, "four fifths of a fifth of 50");
+    for (int i = 0; i < 100; ++i)
+        budget.onRequest("s", 100);
+    while (budget.tryTake("s", 100))
+        ++taken;
+    cr_assert_eq(taken, 24, "and four fifths of a fifth of 100 requests");
+    cr_assert(budget.tryTake("other", 100), "services do not share");
+}
+
+Test(shared_retry_budget, retries_come_back_when_their_window_is_over)
+{
+    SharedRetryBudget budget;
+    budget.setRule({ 0.2, 50, 10'000, 5 });
+    while (budget.tryTake("s", 0)) { }
+    cr_assert_not(budget.tryTake("s", 9'999));
+    cr_assert(budget.tryTake("s", 10'000));
+}
+
+Test(quarantine, an_answered_request_is_forgiven)
+{
+    admission::Quarantine quarantine;
+    for (std::uint64_t crash = 1; crash <= 3; ++crash)
+        quarantine.record({ 5, crash, false }, 0);
+    cr_assert(quarantine.isBanned(5, 0));
+    quarantine.forgive(5);
+    cr_assert_not(quarantine.isBanned(5, 0));
+}
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -61,6 +61,18 @@
         { "length and chunks", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 0, 0, 1001,
             "" },
         { "bad chunk size", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", 1, 0, 1001, "" },
+        { "blank before the colon", "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n", 0, 0, 1001, "" },
+        { "folded line", "POST / HTTP/1.1\r\nX: a\r\n Content-Length: 5\r\n\r\n", 0, 0, 1001, "" },
+        { "line without colon", "GET / HTTP/1.1\r\nHost\r\n\r\n", 0, 0, 1001, "" },
+        { "empty name", "GET / HTTP/1.1\r\n: x\r\n\r\n", 0, 0, 1001, "" },
+        { "length twice", "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n", 0, 0, 1001, "" },
+        { "coding twice",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", 0, 0, 1001, "" },
+        { "plus sign", "POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\nhello", 0, 0, 1001, "" },
+        { "lone line feed", "POST / HTTP/1.1\r\nX: a\nContent-Length: 5\r\n\r\n", 0, 0, 1001, "" },
+        { "lone return", "POST / HTTP/1.1\r\nX: a\rContent-Length: 5\r\n\r\n", 0, 0, 1001, "" },
+        { "chunks in 1.0", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", 0, 0, 1001, "" },
+        { "another coding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 0, 0, 1001, "" },
         { "chunk longer than said", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", 1, 0, 1001,
             "a" },
     };
@@ -90,6 +102,12 @@
     cr_assert(r.body == "x");
 }
 
+Test(message_reader, bytes_that_are_no_answer_are_a_fault)
+{
+    for (const char* bytes : { "HELO 200 OK\r\n\r\n", "\x16\x03\x01\r\n\r\n", "HTTP/1.1 abc\r\n\r\n" })
+        cr_assert_eq(Reading(MessageReader::Kind::Response, bytes, 4).fault, 1001, "%s", bytes);
+}
+
 Test(message_reader, random_bytes_end_in_a_fault_or_wait_for_more)
 {
     cr_assert(rc::check([](const std::string& bytes) {
--- /dev/null
+++ b/tests/unit/server_book_test.cpp
@@ -0,0 +1,136 @@
+#include "goldcrestcleat/upstreams/ServerBook.h"
+
+#include <criterion/criterion.h>
+
+using namespace goldcrestcleat::upstreams;
+using goldcrestcleat::routing::nodeKey;
+
+namespace {
+
+ServerEntry entry(const std::string& id, const std::string& service = "s")
+{
+    ServerEntry e;
+    e.id = id;
+    e.service = service;
+    e.address = "10.0.0.1:80";
+    e.slots = 4;
+    return e;
+}
+
+std::vector<std::string> usableIds(const ServerBook& book, long long now, const std::string& service = "s")
+{
+    std::vector<std::string> ids;
+    for (const auto* server : book.usable(service, now))
+        ids.push_back(server->entry.id);
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+using Ids = std::vector<std::string>;
+
+} // namespace
+
+Test(server_book, leaving_and_removed_servers_get_no_work)
+{
+    ServerBook book;
+    book.put(entry("a"), 0);
+    book.put(entry("b"), 0);
+    book.put(entry("other", "t"), 0);
+    ServerEntry leaving = entry("a");
+    leaving.isLeaving = true;
+    book.put(leaving, 10);
+    cr_assert((usableIds(book, 10) == Ids { "b" }));
+    book.remove("b", 20, 20);
+    cr_assert(usableIds(book, 20).empty());
+    cr_assert((usableIds(book, 20, "t") == Ids { "other" }));
+}
+
+Test(server_book, an_entry_that_lapsed_while_the_store_was_away_counts_until_it_should_be_back)
+{
+    ServerBook book;
+    book.put(entry("a"), 0);
+    book.remove("a", 100, 2'100);
+    cr_assert((usableIds(book, 2'000) == Ids { "a" }));
+    cr_assert(usableIds(book, 2'100).empty());
+    book.put(entry("a"), 2'200);
+    cr_assert((usableIds(book, 9'000) == Ids { "a" }));
+}
+
+Test(server_book, an_unreachable_server_is_avoided_for_longer_each_time_but_used_when_there_is_no_other)
+{
+    ServerBook book;
+    book.put(entry("a"), 0);
+    book.put(entry("b"), 0);
+    book.record(nodeKey("a"), Outcome::Unreachable, 0);
+    cr_assert((usableIds(book, 100) == Ids { "b" }));
+    cr_assert((usableIds(book, 300) == Ids { "a", "b" }));
+    book.record(nodeKey("a"), Outcome::Unreachable, 300);
+    cr_assert((usableIds(book, 700) == Ids { "b" }));
+    book.record(nodeKey("b"), Outcome::Unreachable, 700);
+    cr_assert((usableIds(book, 700) == Ids { "a", "b" }), "avoided servers are better than none");
+}
+
+Test(server_book, a_new_start_under_the_same_id_begins_without_a_history)
+{
+    ServerBook book;
+    book.put(entry("a"), 0);
+    book.put(entry("b"), 0);
+    for (int i = 0; i < 5; ++i)
+        book.record(nodeKey("a"), Outcome::Unreachable, 0);
+    ServerEntry reborn = entry("a");
+    reborn.bornMs = 1'700'000'000'000;
+    book.put(reborn, 10);
+    cr_assert((usableIds(book, 10) == Ids { "a", "b" }));
+}
+
+Test(server_book, a_server_that_fails_more_than_its_service_is_avoided)
+{
+    ServerBook book;
+    for (const char* id : { "a", "b", "c" })
+        book.put(entry(id), 0);
+    for (int i = 0; i < 12; ++i) {
+        book.record(nodeKey("a"), i % 2 ? Outcome::Broken : Outcome::Answered, i);
+        book.record(nodeKey("b"), Outcome::Answered, i);
+        book.record(nodeKey("c"), Outcome::Answered, i);
+    }
+    cr_assert((usableIds(book, 12) == Ids { "b", "c" }));
+    cr_assert((usableIds(book, 5'000) == Ids { "a", "b", "c" }), "it gets another chance");
+}
+
+Test(server_book, failures_that_all_servers_share_single_out_none)
+{
+    ServerBook book;
+    for (const char* id : { "a", "b", "c" })
+        book.put(entry(id), 0);
+    for (int i = 0; i < 30; ++i) {
+        for (const char* id : { "a", "b", "c" })
+            book.record(nodeKey(id), i % 3 ? Outcome::Answered : Outcome::ServerError, i);
+    }
+    cr_assert((usableIds(book, 30) == Ids { "a", "b", "c" }));
+}
+
+Test(server_book, loads_of_peers_count_and_end_with_their_link)
+{
+    ServerBook book;
+    book.put(entry("a"), 0);
+    book.open(nodeKey("a"));
+    book.setPeerOpen(nodeKey("vm2"), nodeKey("a"), 3);
+    book.setPeerOpen(nodeKey("vm3"), nodeKey("a"), 2);
+    cr_assert_eq(book.find(nodeKey("a"))->load(), 6);
+    book.setPeerOpen(nodeKey("vm2"), nodeKey("a"), 1);
+    cr_assert_eq(book.find(nodeKey("a"))->load(), 4);
+    book.forgetPeer(nodeKey("vm3"));
+    book.close(nodeKey("a"));
+    cr_assert_eq(book.find(nodeKey("a"))->load(), 1);
+}
+
+Test(server_book, loads_that_were_reported_before_the_server_was_known_count)
+{
+    ServerBook book;
+    book.setPeerOpen(nodeKey("vm2"), nodeKey("a"), 3);
+    book.setPeerOpen(nodeKey("vm3"), nodeKey("a"), 2);
+    book.put(entry("a"), 0);
+    cr_assert_eq(book.find(nodeKey("a"))->load(), 5);
+    book.forgetPeer(nodeKey("vm2"));
+    cr_assert_eq(book.find(nodeKey("a"))->load(), 2);
+}
--- /dev/null
+++ b/tests/unit/table_mirror_test.cpp
@@ -0,0 +1,114 @@
+#include "goldcrestcleat/store/TableMirror.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace goldcrestcleat::store;
+
+namespace {
+
+VersionedRow row(const std::string& key, const std::string& value, std::uint64_t version)
+{
+    return { key, value, version, false };
+}
+
+VersionedRow removal(const std::string& key, std::uint64_t version) { return { key, "", version, true }; }
+
+/// What a reader of the mirror sees: live rows only.
+std::map<std::string, std::string> live(const TableMirror& mirror)
+{
+    std::map<std::string, std::string> rows;
+    for (const auto& [key, r] : mirror.rows()) {
+        if (!r.isRemoved)
+            rows[key] = r.value;
+    }
+    return rows;
+}
+
+} // namespace
+
+Test(table_mirror, an_older_row_never_replaces_a_newer_one)
+{
+    TableMirror mirror;
+    mirror.replace({ row("a", "new", 9) }, 10);
+    cr_assert(mirror.apply({ row("a", "old", 4) }, 4).empty());
+    cr_assert(live(mirror).at("a") == "new");
+    cr_assert_eq(mirror.version(), 10);
+}
+
+Test(table_mirror, a_removed_row_is_not_brought_back_by_an_older_copy)
+{
+    TableMirror mirror;
+    mirror.replace({ row("a", "x", 3) }, 5);
+    cr_assert_eq(mirror.apply({ removal("a", 7) }, 7).size(), 1);
+    TableMirror peer;
+    peer.replace({ row("a", "x", 3) }, 6);
+    const auto changes = peer.changesAfter(0);
+    mirror.apply(changes.rows, changes.version);
+    cr_assert(live(mirror).empty());
+}
+
+Test(table_mirror, a_whole_read_removes_what_it_lacks_but_not_what_is_newer)
+{
+    TableMirror mirror;
+    mirror.replace({ row("gone", "x", 3), row("kept", "y", 4) }, 5);
+    mirror.apply({ row("newer", "z", 12) }, 12);
+    const auto changed = mirror.replace({ row("kept", "y", 4) }, 10);
+    cr_assert_eq(changed.size(), 1);
+    cr_assert(changed.front().key == "gone" && changed.front().isRemoved);
+    cr_assert_eq(live(mirror).count("newer"), 1);
+}
+
+Test(table_mirror, an_unchanged_value_is_not_reported)
+{
+    TableMirror mirror;
+    mirror.replace({ row("a", "x", 3) }, 5);
+    cr_assert(mirror.apply({ row("a", "x", 6) }, 6).empty());
+}
+
+Test(table_mirror, changes_before_the_first_whole_read_are_sent_as_a_whole_table)
+{
+    TableMirror mirror;
+    mirror.replace({ row("a", "x", 3) }, 50);
+    cr_assert(mirror.changesAfter(20).isWhole);
+    cr_assert(mirror.changesAfter(0).isWhole);
+    cr_assert_not(mirror.changesAfter(50).isWhole);
+}
+
+/// Two mirrors that exchange their changes in any order end up alike, as the naive last-writer-wins map says.
+Test(table_mirror, mirrors_that_exchange_changes_agree_with_the_newest_rows)
+{
+    cr_assert(rc::check([](const std::vector<std::pair<std::uint8_t, bool>>& writes) {
+        TableMirror one;
+        TableMirror other;
+        one.replace({}, 1);
+        other.replace({}, 1);
+        std::map<std::string, std::string> naive;
+        std::uint64_t version = 1;
+        for (const auto& [name, removes] : writes) {
+            ++version;
+            const std::string key(1, static_cast<char>('a' + name % 4));
+            const std::string value = std::to_string(version);
+            const VersionedRow written = removes ? removal(key, version) : row(key, value, version);
+            if (removes)
+                naive.erase(key);
+            else
+                naive[key] = value;
+            TableMirror& reached = name % 3 == 0 ? other : one;
+            reached.apply({ written }, reached.version());
+        }
+        std::vector<VersionedRow> all;
+        for (const auto& [key, r] : one.rows())
+            all.push_back(r);
+        other.apply(all, version);
+        all.clear();
+        for (const auto& [key, r] : other.rows())
+            all.push_back(r);
+        std::reverse(all.begin(), all.end());
+        one.apply(all, version);
+        RC_ASSERT(live(one) == naive);
+        RC_ASSERT(live(other) == naive);
+    }));
+}
--- /dev/null
+++ b/tests/unit/table_watcher_test.cpp
@@ -0,0 +1,137 @@
+#include "goldcrestcleat/store/TableWatcher.h"
+
+#include <criterion/criterion.h>
+
+#include <deque>
+#include <functional>
+
+using namespace goldcrestcleat;
+using namespace goldcrestcleat::store;
+
+namespace {
+
+/// A store whose calls are answered by the test, one by one.
+struct FakeStore {
+    struct Call {
+        bool isWatch = false;
+        std::string fromKey;
+        std::uint64_t afterVersion = 0;
+        RowStore::ReadHook answer;
+    };
+
+    std::deque<Call> calls;
+    RowStore port;
+
+    FakeStore()
+    {
+        port.read = [this](const std::string&, const std::string& fromKey, RowStore::ReadHook hook) {
+            calls.push_back({ false, fromKey, 0, std::move(hook) });
+        };
+        port.watch = [this](const std::string&, std::uint64_t after, loop::TimeMs, RowStore::ReadHook hook) {
+            calls.push_back({ true, "", after, std::move(hook) });
+        };
+    }
+
+    Call take()
+    {
+        cr_assert_not(calls.empty(), "no call was made");
+        Call call = calls.front();
+        calls.pop_front();
+        return call;
+    }
+};
+
+RowSet answered(std::vector<VersionedRow> rows, std::uint64_t version, bool isTruncated = false)
+{
+    RowSet set;
+    set.outcome = ReadOutcome::Answered;
+    set.rows = std::move(rows);
+    set.version = version;
+    set.isTruncated = isTruncated;
+    return set;
+}
+
+RowSet failed(ReadOutcome outcome)
+{
+    RowSet set;
+    set.outcome = outcome;
+    set.reason = "in the test";
+    return set;
+}
+
+struct Fixture {
+    loop::EventLoop loop;
+    FakeStore store;
+    std::vector<VersionedRow> changed;
+    std::vector<bool> contacts;
+    TableWatcher watcher { loop, store.port, "t",
+        { [this](const std::vector<VersionedRow>& rows) { changed.insert(changed.end(), rows.begin(), rows.end()); },
+            [this](bool isAnswering, const std::string&) { contacts.push_back(isAnswering); } } };
+
+    /// Runs steps one after the other, each some time after the one before.
+    void run(const std::vector<std::pair<loop::TimeMs, std::function<void()>>>& steps)
+    {
+        loop::TimeMs at = 0;
+        for (const auto& [afterMs, step] : steps)
+            loop.after(at += afterMs, step);
+        loop.after(at, [this] { loop.stop(); });
+        loop.run();
+    }
+};
+
+} // namespace
+
+Test(table_watcher, reads_all_pages_and_watches_from_the_first_pages_version)
+{
+    Fixture f;
+    f.watcher.start();
+    f.store.take().answer(answered({ { "a", "1", 3, false } }, 10, true));
+    const auto second = f.store.take();
+    cr_assert_not(second.isWatch);
+    cr_assert(second.fromKey > "a" && second.fromKey < "a0");
+    second.answer(answered({ { "b", "2", 11, false } }, 12));
+    const auto watch = f.store.take();
+    cr_assert(watch.isWatch);
+    cr_assert_eq(watch.afterVersion, 10, "a row may have changed between the pages");
+    cr_assert_eq(f.changed.size(), 2);
+    cr_assert(f.watcher.isCurrent());
+}
+
+Test(table_watcher, a_gap_in_the_history_leads_to_a_whole_read)
+{
+    Fixture f;
+    f.watcher.start();
+    f.store.take().answer(answered({ { "a", "1", 3, false } }, 10));
+    f.store.take().answer(failed(ReadOutcome::HistoryGone));
+    const auto read = f.store.take();
+    cr_assert_not(read.isWatch);
+    read.answer(answered({}, 40));
+    cr_assert(f.changed.back().isRemoved, "a row that vanished in the gap is removed");
+    cr_assert_eq(f.store.take().afterVersion, 40);
+}
+
+Test(table_watcher, a_failed_call_is_made_again_after_a_pause_and_the_contact_is_reported_once)
+{
+    Fixture f;
+    f.watcher.start();
+    f.store.take().answer(failed(ReadOutcome::Refused));
+    cr_assert(f.store.calls.empty(), "no call without a pause");
+    f.run({ { 300, [&] { f.store.take().answer(failed(ReadOutcome::NoAnswer)); } },
+        { 600, [&] { f.store.take().answer(answered({ { "a", "1", 3, false } }, 10)); } } });
+    cr_assert((f.contacts == std::vector<bool> { false, true }));
+    cr_assert_gt(f.watcher.regainedAt(), 0);
+}
+
+Test(table_watcher, takes_newer_rows_from_a_peer_while_the_store_is_away)
+{
+    Fixture f;
+    f.watcher.start();
+    f.store.take().answer(answered({ { "a", "1", 3, false } }, 10));
+    f.store.take().answer(failed(ReadOutcome::NoAnswer));
+    cr_assert_not(f.watcher.isCurrent());
+    f.watcher.applyFromPeer({ false, 12, { { "a", "2", 12, false } } });
+    cr_assert(f.changed.back().value == "2");
+    f.watcher.applyFromPeer({ true, 11, {} });
+    cr_assert_eq(f.watcher.mirror().version(), 12, "an older copy changes nothing");
+    f.run({ { 300, [&] { cr_assert_eq(f.store.take().afterVersion, 12); } } });
+}
--- /dev/null
+++ b/tests/unit/warm_placement_test.cpp
@@ -0,0 +1,93 @@
+#include "goldcrestcleat/routing/WarmPlacement.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace goldcrestcleat::routing;
+
+namespace {
+
+std::vector<Candidate> idle(int count)
+{
+    std::vector<Candidate> candidates;
+    for (int i = 0; i < count; ++i)
+        candidates.push_back({ nodeKey("e" + std::to_string(i)), 0, 32, true });
+    return candidates;
+}
+
+} // namespace
+
+Test(warm_placement, a_subject_stays_with_its_server_while_that_is_within_the_bound)
+{
+    const auto candidates = idle(18);
+    const auto first = chooseWarm(candidates, 42, {});
+    cr_assert(first.isFirstChoice);
+    auto shuffled = candidates;
+    std::reverse(shuffled.begin(), shuffled.end());
+    cr_assert_eq(chooseWarm(shuffled, 42, {}).server, first.server);
+}
+
+Test(warm_placement, a_removed_server_moves_its_own_subjects_only)
+{
+    const auto all = idle(18);
+    auto fewer = all;
+    fewer.pop_back();
+    for (std::uint64_t subject = 0; subject < 500; ++subject) {
+        const auto before = chooseWarm(all, subject, {}).server;
+        if (before != all.back().key)
+            cr_assert_eq(chooseWarm(fewer, subject, {}).server, before);
+    }
+}
+
+Test(warm_placement, a_spilled_request_names_the_first_choice_to_fetch_from)
+{
+    auto candidates = idle(18);
+    const auto home = chooseWarm(candidates, 42, {}).server;
+    for (auto& candidate : candidates)
+        candidate.load = candidate.key == home ? 30 : 1;
+    const auto spilled = chooseWarm(candidates, 42, {});
+    cr_assert_neq(spilled.server, home);
+    cr_assert_eq(spilled.fetchFrom, home);
+}
+
+Test(warm_placement, the_load_bound_holds_whenever_one_server_can_keep_it)
+{
+    cr_assert(rc::check([](std::uint64_t subject, const std::vector<std::uint8_t>& loads) {
+        RC_PRE(!loads.empty());
+        std::vector<Candidate> candidates;
+        double total = 1;
+        for (std::size_t i = 0; i < loads.size(); ++i) {
+            candidates.push_back({ nodeKey("e" + std::to_string(i)), loads[i] % 40, 1'000, true });
+            total += loads[i] % 40;
+        }
+        const WarmBound bound { 1.5, 1.5 };
+        const auto choice = chooseWarm(candidates, subject, bound);
+        const auto chosen = std::find_if(
+            candidates.begin(), candidates.end(), [&](const Candidate& c) { return c.key == choice.server; });
+        RC_ASSERT(chosen != candidates.end());
+        const double mean = total / static_cast<double>(candidates.size());
+        // The least loaded server is at or below the mean, so that one within the bound always exists.
+        RC_ASSERT(chosen->load + 1 <= bound.factor * mean + bound.slack);
+    }));
+}
+
+Test(warm_placement, without_context_the_least_loaded_by_slots_wins_and_a_near_one_among_equals)
+{
+    const std::vector<Candidate> candidates = { { 1, 4, 8, false }, { 2, 3, 4, true }, { 3, 4, 8, true } };
+    for (std::uint64_t salt = 0; salt < 50; ++salt)
+        cr_assert_eq(chooseLeastLoaded(candidates, salt), 3);
+    cr_assert_eq(chooseLeastLoaded({}, 1), NO_NODE);
+    cr_assert_eq(chooseWarm({}, 1, {}).server, NO_NODE);
+}
+
+Test(warm_placement, equal_servers_share_requests_without_context)
+{
+    std::map<NodeKey, int> counts;
+    for (std::uint64_t salt = 0; salt < 4'000; ++salt)
+        ++counts[chooseLeastLoaded(idle(4), salt)];
+    for (const auto& [key, count] : counts)
+        cr_assert(count > 800 && count < 1'200, "%d of 4,000", count);
+}
