End a stopped process at once instead of waiting for log4cplus's threads

The log of a stop has 'stopped' 3.8 s after the signal, yet the process stayed until it was killed at 8 s and was back only after that: static destructors wait for log4cplus's worker threads. Ruled out: open requests and connections (the log says 0).

--- a/src/goldcrestcleat/cli/Commands.cpp
+++ b/src/goldcrestcleat/cli/Commands.cpp
@@ -46,7 +46,9 @@
         std::signal(SIGINT, onFrontStopSignal);
         std::signal(SIGHUP, onFrontReloadSignal);
         std::signal(SIGPIPE, SIG_IGN);
-        return daemon.run();
+        // Ends without the static destructors: log4cplus waits there for its worker threads, and a process that
+        // outlives the grace time of a planned stop is killed. The log writes each line at once.
+        std::_Exit(daemon.run());
     }
 
     int serve()
