--- a/src/goldcrestcleat/cli/Commands.cpp
+++ b/src/goldcrestcleat/cli/Commands.cpp
@@ -2,9 +2,11 @@
 
 #include "goldcrestcleat/Daemon.h"
 #include "goldcrestcleat/FrontDaemon.h"
+#include "goldcrestcleat/cli/LogCommands.h"
 #include "goldcrestcleat/cli/OperatorCommands.h"
 #include "platform/Ports.h"
 
+#include <absl/flags/declare.h>
 #include <absl/flags/flag.h>
 
 #include <csignal>
@@ -15,6 +17,8 @@
 ABSL_FLAG(std::string, config, "",
     "settings file (JSON) of serve, front and check-config; front takes GOLDCRESTCLEAT_BOOT when it is not given");
 
+ABSL_DECLARE_FLAG(std::string, request);
+
 namespace goldcrestcleat::cli {
 
 namespace {
@@ -89,7 +93,10 @@
                 "the entry lists, serves until every answer is whole and exits.\n" },
             { "status", "status [--json]\n  Shows daemons, upstreams, loads and how fresh each view is.\n" },
             { "audit", "audit [--after NUMBER]\n  Shows who changed what, and when.\n" },
-            { "explain", "explain --request ID | --chat ID\n  Shows why a request ran where it ran.\n" },
+            { "explain",
+                "explain --request ID | --chat ID\n  Shows why a request ran where it ran.\nexplain --request ID "
+                "LOGFILE...\n  Tells a "
+                "request's story and its cause from the logs of one or several VMs of the users' platform.\n" },
         };
         return texts;
     }
@@ -123,6 +130,8 @@
             std::cout << "goldcrestcleat " << VERSION << "\n";
             return ExitCode::Success;
         }
+        if (name == "explain" && arguments.size() > 1)
+            return explainFromLogs({ arguments.begin() + 1, arguments.end() }, absl::GetFlag(FLAGS_request));
         if (helpTexts().count(name) > 0)
             return runOperatorCommand(arguments);
         std::cerr << helpText("");
--- a/src/goldcrestcleat/forwarding/ForwardAnswer.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardAnswer.cpp
@@ -42,6 +42,8 @@
 {
     attempt_.head = env_.dialect.readHead(head);
     attempt_.hasHead = true;
+    if (firstAnswerMs_ == 0)
+        firstAnswerMs_ = env_.loop.now() - exchange_->arrivedAt();
     lastProgressAt_ = env_.loop.now();
 }
 
--- a/src/goldcrestcleat/forwarding/ForwardRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardRequest.cpp
@@ -245,6 +245,7 @@
 void ForwardRequest::giveUp(ResultCode code, const std::string& context)
 {
     if (isStreaming_) {
+        explain("cut", { { "lastEvent", lastForwardedId_.value_or(0) }, { "reason", context } });
         exchange_->abort(); // the caller must not take what it has for the whole
         finish(ResultCode::AnswerIncomplete);
         return;
@@ -286,13 +287,14 @@
         return;
     isEnded_ = true;
     const auto self = shared_from_this();
+    const std::string server = serverId();
     closeAttempt();
     env_.loop.cancel(limitTimer_);
     exchange_->onCallerGone = nullptr;
     exchange_->onDrain = nullptr;
     env_.metrics.onRequest(route_ ? route_->name : "none", static_cast<int>(code));
     if (code == ResultCode::Ok)
-        explain("served", { { "attempts", serial_ } });
+        explain("served", { { "server", server }, { "attempts", serial_ }, { "firstMs", firstAnswerMs_ } });
     env_.open.erase(self);
 }
 
--- a/src/goldcrestcleat/forwarding/ForwardRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardRequest.h
@@ -130,6 +130,7 @@
     bool isStreaming_ = false; // the caller has the head of a stream
     bool isEnded_ = false;
     std::optional<std::uint64_t> lastForwardedId_;
+    loop::TimeMs firstAnswerMs_ = 0; // from the arrival to the first head of an answer
     std::string output_; // events that are not written yet
     loop::EventLoop::TimerId limitTimer_ = 0;
     loop::EventLoop::TimerId progressTimer_ = 0;
--- /dev/null
+++ b/tools/check-wire-names.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# The names of the users' platform belong into platform/ alone; stand-ins and tests speak its protocol too.
+set -euo pipefail
+names='Server-Seal|Not-Executed|Prompt-Prefix|Kv-|Expect-Instance|rows-(tx|get|feed|parts)|Token-Usage|Server-Load|Api-Key'
+names+='|Request-Deadline|Request-Priority'
+fields='apiKeys|timeoutMs|goalMs|gapTargetMs|coldLeftMs|afterRev|expectRev|noAuth|born|resumable|sticky'
+if git grep -nE "($names)|\"($fields)\"" -- 'src/*.cpp' 'src/*.h'; then
+    echo "names of the users' platform outside platform/" >&2
+    exit 1
+fi
