--- a/src/goldcrestcleat/forwarding/ForwardRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardRequest.cpp
@@ -1,7 +1,6 @@
 #include "goldcrestcleat/forwarding/ForwardRequest.h"
 
 #include <Poco/Net/HTTPResponse.h>
-#include <xxhash.h>
 
 #include <algorithm>
 
@@ -10,7 +9,6 @@
 namespace goldcrestcleat::forwarding {
 
 using errors::ResultCode;
-using routes::CallKind;
 using routing::NO_NODE;
 using routing::NodeKey;
 
--- a/src/goldcrestcleat/routes/Configuration.h
+++ b/src/goldcrestcleat/routes/Configuration.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-/// What the operator wants: routes, workspaces, services and limits, as one versioned value.
+/// What the operator wants: routes, workspaces and limits, as one versioned value.
 namespace goldcrestcleat::routes {
 
 /// What may be repeated.
@@ -55,12 +55,6 @@
     std::optional<int> priority; ///< goes before the route's
 };
 
-/// What is known of a service beside its servers.
-struct ServiceRules {
-    std::string name;
-    int maxConnections = 0; ///< that one server takes from all callers together; 0 when not stated
-};
-
 /// What a caller may send and how long it may take.
 struct CallerLimits {
     std::size_t headBytes = 16 * 1024;
@@ -80,7 +74,6 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<KeyHolder> workspaces;
-    std::vector<ServiceRules> services;
     CallerLimits limits;
 };
 
--- a/src/goldcrestcleat/settings/FrontSettings.cpp
+++ b/src/goldcrestcleat/settings/FrontSettings.cpp
@@ -27,14 +27,13 @@
 
     void readBounds(ObjectReader& reader, Bounds& b)
     {
-        b.configInForceMs = readMs(reader, "configInForceMs", b.configInForceMs);
         b.upstreamLeavesMs = readMs(reader, "upstreamLeavesMs", b.upstreamLeavesMs);
         b.stopGraceMs = readSeconds(reader, "stopGraceS", b.stopGraceMs);
-        b.contactMs = readMs(reader, "contactMs", b.contactMs);
         b.retryRatio = reader.number("retryRatio", 0, 100, b.retryRatio);
         b.retryExtra = reader.number("retryExtra", 0, 1e9, b.retryExtra);
         b.retryWindowMs = readSeconds(reader, "retryWindowS", b.retryWindowMs);
         b.loadFactor = reader.number("loadFactor", 1, 1'000, b.loadFactor);
+        b.entryTtlMs = readSeconds(reader, "entryTtlS", b.entryTtlMs);
         // Longer than the deployment's longest time to live helps nobody: callers count no more of it.
         b.entryTtlMs = std::min(b.entryTtlMs, readSeconds(reader, "longestEntryTtlS", b.entryTtlMs));
     }
--- a/src/goldcrestcleat/settings/FrontSettings.h
+++ b/src/goldcrestcleat/settings/FrontSettings.h
@@ -10,10 +10,8 @@
 
 /// Promises of the deployment that bound what a daemon may do, in ms unless said otherwise.
 struct Bounds {
-    loop::TimeMs configInForceMs = 2'000; ///< from the acknowledgement of a version
     loop::TimeMs upstreamLeavesMs = 2'000; ///< after its leaving was acknowledged, an upstream gets no request
     loop::TimeMs stopGraceMs = 8'000; ///< between the stop signal and the kill
-    loop::TimeMs contactMs = 3'000; ///< after a disruption, a calm daemon is held to all bounds again
     double retryRatio = 0.2; ///< retries of a service for each of its requests, of all daemons together
     double retryExtra = 10; ///< retries beyond that
     loop::TimeMs retryWindowMs = 10'000;
--- a/src/goldcrestcleat/upstreams/ServerBook.h
+++ b/src/goldcrestcleat/upstreams/ServerBook.h
@@ -21,14 +21,12 @@
     int slots = 1; ///< requests worked on at once
     bool isLeaving = false; ///< takes no new work
     bool isEngine = false; ///< runs models
-    loop::TimeMs slowForMs = 0; ///< time after its start for which it is still slow
     std::int64_t bornMs = 0; ///< Unix time of its start; tells two starts under one id apart; 0 when not stated
 
     friend bool operator==(const ServerEntry& a, const ServerEntry& b)
     {
         return a.id == b.id && a.service == b.service && a.address == b.address && a.dataCentre == b.dataCentre
-            && a.slots == b.slots && a.isLeaving == b.isLeaving && a.isEngine == b.isEngine
-            && a.slowForMs == b.slowForMs && a.bornMs == b.bornMs;
+            && a.slots == b.slots && a.isLeaving == b.isLeaving && a.isEngine == b.isEngine && a.bornMs == b.bornMs;
     }
 };
 
--- a/tools/harness/FrontRig.cpp
+++ b/tools/harness/FrontRig.cpp
@@ -204,7 +204,7 @@
         headers[name] = value;
     std::string request = "POST " + path + " HTTP/1.1\r\nConnection: close\r\nContent-Length: 0\r\n";
     for (const auto& [name, value] : properHeaders(headers))
-        request += name + ": " + value + "\r\n";
+        request.append(name).append(": ").append(value).append("\r\n");
     return readEventAnswer(callRaw(callerAddress(daemon), request + "\r\n", STREAM_TIMEOUT_MS));
 }
 
--- a/tools/harness/KeptConnection.cpp
+++ b/tools/harness/KeptConnection.cpp
@@ -22,7 +22,7 @@
 {
     std::string request = method + " " + path + " HTTP/1.1\r\nContent-Length: 0\r\n";
     for (const auto& [name, value] : headers)
-        request += name + ": " + value + "\r\n";
+        request.append(name).append(": ").append(value).append("\r\n");
     if (!send(request + "\r\n"))
         return {};
     return receive(timeoutMs);
