Move the reader of JSON documents out of settings

Cause: settings and profiles included each other's folder, since the reader of documents that both use lay in settings. Ruled out: moving profiles into settings, which would make them depend on all settings. Before and after: no change of behaviour; settings_test passes. Conclusion: documents/ holds Fault, ObjectReader and loadDocument; settings includes profiles, and not the other way round.

--- a/src/goldcrestcleat/settings/LoadDocument.h
+++ b/src/goldcrestcleat/documents/LoadDocument.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "goldcrestcleat/settings/ObjectReader.h"
+#include "goldcrestcleat/documents/ObjectReader.h"
 
 #include <fstream>
 #include <string>
 
-namespace goldcrestcleat::settings {
+namespace goldcrestcleat::documents {
 
 /// Reads a JSON file, comments allowed, and parses it. Throws SettingsError that lists all faults, a line each.
 template <typename Document, typename Parse> Document loadDocument(const std::string& path, Parse parse)
@@ -29,4 +29,4 @@
     throw errors::SettingsError(faults.front().code, lines);
 }
 
-} // namespace goldcrestcleat::settings
+} // namespace goldcrestcleat::documents
--- a/src/goldcrestcleat/settings/ObjectReader.cpp
+++ b/src/goldcrestcleat/documents/ObjectReader.cpp
@@ -1,4 +1,4 @@
-#include "goldcrestcleat/settings/ObjectReader.h"
+#include "goldcrestcleat/documents/ObjectReader.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <cctype>
 
-namespace goldcrestcleat::settings {
+namespace goldcrestcleat::documents {
 
 using errors::ResultCode;
 using nlohmann::json;
@@ -217,4 +217,4 @@
     return value;
 }
 
-} // namespace goldcrestcleat::settings
+} // namespace goldcrestcleat::documents
--- a/src/goldcrestcleat/settings/ObjectReader.h
+++ b/src/goldcrestcleat/documents/ObjectReader.h
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
-/// Checked settings of a daemon.
-namespace goldcrestcleat::settings {
+/// Reading of JSON documents that people write, with every fault named.
+namespace goldcrestcleat::documents {
 
 /// One fault of a JSON document.
 struct Fault {
@@ -80,4 +80,4 @@
     std::set<std::string> read_;
 };
 
-} // namespace goldcrestcleat::settings
+} // namespace goldcrestcleat::documents
--- a/src/goldcrestcleat/gateway/AdminGateway.cpp
+++ b/src/goldcrestcleat/gateway/AdminGateway.cpp
@@ -225,12 +225,12 @@
 {
     if (!body.contains("profile"))
         throw RequestError(ResultCode::InvalidField, "/profile is required");
-    std::vector<settings::Fault> faults;
+    std::vector<documents::Fault> faults;
     const profiles::Profile profile = profiles::parseProfile(body["profile"], faults);
     if (!faults.empty()) {
         std::string lines;
         for (const auto& fault : faults)
-            lines += (lines.empty() ? "" : "\n") + settings::toString(fault);
+            lines += (lines.empty() ? "" : "\n") + documents::toString(fault);
         throw RequestError(ResultCode::ProfileInvalid, lines);
     }
     const auto* current = profiles_.find(profile.name);
--- a/src/goldcrestcleat/profiles/Profile.cpp
+++ b/src/goldcrestcleat/profiles/Profile.cpp
@@ -14,7 +14,7 @@
     return version == other.version && toJson(*this) == toJson(other);
 }
 
-Profile readProfile(settings::ObjectReader& reader)
+Profile readProfile(documents::ObjectReader& reader)
 {
     const Profile defaults;
     Profile p;
@@ -35,9 +35,9 @@
     return p;
 }
 
-Profile parseProfile(const nlohmann::json& document, std::vector<settings::Fault>& faults)
+Profile parseProfile(const nlohmann::json& document, std::vector<documents::Fault>& faults)
 {
-    settings::ObjectReader reader(document, "", faults);
+    documents::ObjectReader reader(document, "", faults);
     Profile profile = readProfile(reader);
     reader.finish();
     return profile;
--- a/src/goldcrestcleat/profiles/Profile.h
+++ b/src/goldcrestcleat/profiles/Profile.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "goldcrestcleat/documents/ObjectReader.h"
 #include "goldcrestcleat/loop/EventLoop.h"
-#include "goldcrestcleat/settings/ObjectReader.h"
 
 #include <nlohmann/json.hpp>
 
@@ -31,10 +31,10 @@
 };
 
 /// Reads a profile's members; faults go to the reader's list.
-Profile readProfile(settings::ObjectReader& reader);
+Profile readProfile(documents::ObjectReader& reader);
 
 /// Parses a whole document; throws nothing, faults are appended.
-Profile parseProfile(const nlohmann::json& document, std::vector<settings::Fault>& faults);
+Profile parseProfile(const nlohmann::json& document, std::vector<documents::Fault>& faults);
 
 /// Returns the members without the version.
 nlohmann::json toJson(const Profile& profile);
--- a/src/goldcrestcleat/profiles/ProfileBook.cpp
+++ b/src/goldcrestcleat/profiles/ProfileBook.cpp
@@ -13,7 +13,7 @@
 
 bool ProfileBook::apply(const std::string& name, std::uint64_t version, const nlohmann::json& document)
 {
-    std::vector<settings::Fault> faults;
+    std::vector<documents::Fault> faults;
     Profile profile = parseProfile(document, faults);
     if (!faults.empty() || profile.name != name)
         return false;
--- a/src/goldcrestcleat/settings/FrontSettings.cpp
+++ b/src/goldcrestcleat/settings/FrontSettings.cpp
@@ -1,12 +1,14 @@
 #include "goldcrestcleat/settings/FrontSettings.h"
 
-#include "goldcrestcleat/settings/LoadDocument.h"
+#include "goldcrestcleat/documents/LoadDocument.h"
 
 #include <algorithm>
 #include <cmath>
 
 namespace goldcrestcleat::settings {
 
+using documents::Fault;
+using documents::ObjectReader;
 using nlohmann::json;
 
 namespace {
@@ -60,7 +62,7 @@
 
 FrontSettings loadFrontSettings(const std::string& path)
 {
-    return loadDocument<FrontSettings>(path, parseFrontSettings);
+    return documents::loadDocument<FrontSettings>(path, parseFrontSettings);
 }
 
 } // namespace goldcrestcleat::settings
--- a/src/goldcrestcleat/settings/FrontSettings.h
+++ b/src/goldcrestcleat/settings/FrontSettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "goldcrestcleat/settings/ObjectReader.h"
+#include "goldcrestcleat/documents/ObjectReader.h"
 #include "goldcrestcleat/settings/Settings.h"
 
 #include <string>
@@ -31,7 +31,7 @@
 };
 
 /// Parses a document; returns what could be read and appends every fault. Unknown members are faults.
-FrontSettings parseFrontSettings(const nlohmann::json& document, std::vector<Fault>& faults);
+FrontSettings parseFrontSettings(const nlohmann::json& document, std::vector<documents::Fault>& faults);
 
 /// Reads a settings file. Throws SettingsError that lists all faults, a line each.
 FrontSettings loadFrontSettings(const std::string& path);
--- a/src/goldcrestcleat/settings/Settings.cpp
+++ b/src/goldcrestcleat/settings/Settings.cpp
@@ -1,11 +1,13 @@
 #include "goldcrestcleat/settings/Settings.h"
 
-#include "goldcrestcleat/settings/LoadDocument.h"
+#include "goldcrestcleat/documents/LoadDocument.h"
 
 #include <algorithm>
 
 namespace goldcrestcleat::settings {
 
+using documents::Fault;
+using documents::ObjectReader;
 using errors::ResultCode;
 using nlohmann::json;
 
@@ -159,6 +161,6 @@
     return s;
 }
 
-Settings loadSettings(const std::string& path) { return loadDocument<Settings>(path, parseSettings); }
+Settings loadSettings(const std::string& path) { return documents::loadDocument<Settings>(path, parseSettings); }
 
 } // namespace goldcrestcleat::settings
--- a/src/goldcrestcleat/settings/Settings.h
+++ b/src/goldcrestcleat/settings/Settings.h
@@ -1,13 +1,14 @@
 #pragma once
 
+#include "goldcrestcleat/documents/ObjectReader.h"
 #include "goldcrestcleat/http/MessageReader.h"
 #include "goldcrestcleat/loop/EventLoop.h"
 #include "goldcrestcleat/profiles/Profile.h"
-#include "goldcrestcleat/settings/ObjectReader.h"
 
 #include <string>
 #include <vector>
 
+/// Checked settings of a daemon.
 namespace goldcrestcleat::settings {
 
 /// An entry VM as the settings name it.
@@ -90,7 +91,7 @@
 };
 
 /// Parses a document; returns what could be read and appends every fault.
-Settings parseSettings(const nlohmann::json& document, std::vector<Fault>& faults);
+Settings parseSettings(const nlohmann::json& document, std::vector<documents::Fault>& faults);
 
 /// Reads a settings file. Throws SettingsError that lists all faults, a line each.
 Settings loadSettings(const std::string& path);
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -17,9 +17,9 @@
     return json::parse(file, nullptr, true, true);
 }
 
-std::vector<settings::Fault> faultsOf(const json& document)
+std::vector<documents::Fault> faultsOf(const json& document)
 {
-    std::vector<settings::Fault> faults;
+    std::vector<documents::Fault> faults;
     settings::parseSettings(document, faults);
     return faults;
 }
@@ -36,7 +36,7 @@
 Test(settings, the_documented_example_has_no_fault)
 {
     const auto faults = faultsOf(validDocument());
-    cr_assert(faults.empty(), "%s", faults.empty() ? "" : settings::toString(faults[0]).c_str());
+    cr_assert(faults.empty(), "%s", faults.empty() ? "" : documents::toString(faults[0]).c_str());
 }
 
 Test(settings, each_kind_of_fault_has_its_number_and_pointer)
@@ -74,7 +74,7 @@
         const bool found = std::any_of(
             faults.begin(), faults.end(), [&](const auto& f) { return f.code == c.code && f.pointer == c.faultAt; });
         cr_assert(found, "%s: expected %d at %s, first fault: %s", c.pointer, static_cast<int>(c.code), c.faultAt,
-            faults.empty() ? "none" : settings::toString(faults[0]).c_str());
+            faults.empty() ? "none" : documents::toString(faults[0]).c_str());
     }
 }
 
