Keep late copies of a table from bringing removed rows back

Cause: a daemon that read the table after a row had been removed has no marker of the removal. A whole copy that was made before and came late, as from a peer that was asked at the start, brought the row back: a server that had left could get work again. Found by a search over all orders of messages between two daemons and the store (mirror_search), which failed in its first states. Ruled out: a fault of the search; a direct test on the mirror fails the same way before. Before: table_mirror and mirror_search fail. Conclusion: a row that is unknown and not newer than the mirror is ignored, since the mirror knows every row up to its version.

--- a/src/goldcrestcleat/store/TableMirror.cpp
+++ b/src/goldcrestcleat/store/TableMirror.cpp
@@ -51,8 +51,11 @@
 
 bool TableMirror::put(const VersionedRow& row)
 {
-    newestRow_ = std::max(newestRow_, row.version);
     const auto known = rows_.find(row.key);
+    // Every row up to the mirror's version is known, so that an unknown one of that age was removed since.
+    if (known == rows_.end() && row.version <= version_)
+        return false;
+    newestRow_ = std::max(newestRow_, row.version);
     if (known == rows_.end()) {
         rows_.emplace(row.key, row);
         removed_ += row.isRemoved ? 1 : 0;
--- a/tests/unit/table_mirror_test.cpp
+++ b/tests/unit/table_mirror_test.cpp
@@ -112,3 +112,15 @@
         RC_ASSERT(live(other) == naive);
     }));
 }
+
+/// Found by mirror_search: a daemon that read the table after the removal has no marker of it.
+Test(table_mirror, a_row_removed_before_the_first_read_is_not_brought_back_by_a_late_older_copy)
+{
+    TableMirror mirror;
+    mirror.replace({ row("b", "x", 4) }, 5);
+    cr_assert(mirror.replace({ row("a", "removed since", 3), row("b", "x", 4) }, 4).empty());
+    cr_assert_eq(live(mirror).count("a"), 0);
+    cr_assert(mirror.apply({ row("a", "removed since", 3) }, 4).empty());
+    cr_assert_eq(live(mirror).count("a"), 0);
+    cr_assert_eq(mirror.apply({ row("a", "back", 6) }, 6).size(), 1, "a newer row is taken");
+}
