Do not take a missing load report for an idle engine

Cause: the prober read a report without a load, or with one that is no number, as a load of 0, and the desk then dropped the tickets that it could not account for. Before: prober_test's second case fails. After: it passes. Conclusion: the load is optional, and only a stated one is passed on.

--- a/src/goldcrestcleat/upstreams/Prober.cpp
+++ b/src/goldcrestcleat/upstreams/Prober.cpp
@@ -22,7 +22,9 @@
         if (!answer.isAlive)
             return answer;
         answer.isLeaving = document.value("state", "serving") == "leaving";
-        answer.running = document.value("server_load", 0);
+        const auto load = document.find("server_load");
+        if (load != document.end() && load->is_number_integer())
+            answer.running = load->get<int>();
         answer.run = document.value("run", "");
         return answer;
     }
@@ -97,8 +99,9 @@
         directory_.onContactFailed(key, loop_.now());
     if (answer.isLeaving)
         directory_.markLeaving(key, upstream->incarnation);
-    if (answer.isAlive && upstream->kind == Kind::Engine)
-        hooks_.onReport(key, answer.running);
+    // An engine that states no load is not an idle one.
+    if (answer.isAlive && answer.running)
+        hooks_.onReport(key, *answer.running);
     if (upstream->absence.down != wasDown || upstream->absence.leaving != wasLeaving)
         hooks_.onChange(*upstream);
 }
--- a/src/goldcrestcleat/upstreams/Prober.h
+++ b/src/goldcrestcleat/upstreams/Prober.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace goldcrestcleat::upstreams {
 
@@ -12,7 +13,7 @@
 struct ProbeAnswer {
     bool isAlive = false;
     bool isLeaving = false;
-    int running = 0; ///< requests that an engine runs
+    std::optional<int> running; ///< requests that an engine runs; nothing when it does not say
     std::string run; ///< changes when the upstream's process was started anew
 };
 
