Renew members' rows and remove those of VMs that are gone

Cause: each VM writes a row under its id once; a VM that is replaced leaves its row for good, new daemons dial it, and the retry budget is divided by it. Ruled out: forgetting peers whose link is down, since the two halves of a split fleet would each spend the whole budget. What was changed: each daemon reads the members and writes its row again every five minutes; a row that did not change in three renewals of another daemon, and whose link is down, is forgotten by all and removed by a leading daemon, if it is still the version that was seen. A daemon whose row was removed writes it again. Before: no row is ever removed. After: membership_test removes one that nobody renews, keeps one that is, and sees a removed one written again. Cost at 330 daemons: 2.2 calls a second.

--- a/src/goldcrestcleat/fleet/Fleet.cpp
+++ b/src/goldcrestcleat/fleet/Fleet.cpp
@@ -12,7 +12,7 @@
     constexpr loop::TimeMs LOADS_PERIOD_MS = 100;
     constexpr loop::TimeMs HEARTBEAT_MS = 500; // when no load has changed
     constexpr loop::TimeMs DESK_TICK_MS = 20;
-    constexpr double URGENT_SHARE = 0.8; // of the load that was told last
+    constexpr double URGENT_SHARE = 0.8; // of the load that was sent last
     constexpr loop::TimeMs SHED_PERIOD_MS = 25;
     constexpr loop::TimeMs REPAIR_PERIOD_MS = 1'000;
 
--- a/src/goldcrestcleat/fleet/Fleet.h
+++ b/src/goldcrestcleat/fleet/Fleet.h
@@ -103,7 +103,7 @@
     Homes homes_;
     PeerLinks links_;
     Tickets tickets_;
-    std::vector<routing::NodeKey> roster_; ///< engines in the order of their slots, as told to the peers
+    std::vector<routing::NodeKey> roster_; ///< engines in the order of their slots, as sent to the peers
     std::vector<int> sentLoads_; ///< by slot
     std::map<routing::NodeKey, std::vector<routing::NodeKey>> peerRosters_;
     std::uint32_t sentDigest_ = 0;
--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -33,6 +33,8 @@
         return json { { "dataCentre", vm.dataCentre }, { "caller", vm.caller }, { "peer", vm.peer } }.dump();
     }
 
+    bool isMember(const store::VersionedRow& row) { return row.key.rfind(VM_PREFIX, 0) == 0; }
+
     /// Reads a VM's row; throws json::exception when it is not one.
     settings::EntryVm parseVm(const store::VersionedRow& row)
     {
@@ -44,7 +46,8 @@
 } // namespace
 
 Membership::Membership(loop::EventLoop& loop, const settings::FrontSettings& settings, const observe::Log& log,
-    const store::RowStore& store, upstreams::ServerBook& servers, admission::Quarantine& quarantine, Hooks hooks)
+    const store::RowStore& store, upstreams::ServerBook& servers, admission::Quarantine& quarantine, Hooks hooks,
+    loop::TimeMs renewalMs)
     : loop_(loop)
     , settings_(settings)
     , log_(log)
@@ -60,6 +63,7 @@
                       { { "peer", peer }, { "reason", reason },
                           { "code", static_cast<int>(errors::ResultCode::PeerRejected) } });
               } })
+    , renewalMs_(renewalMs)
 {
     identity_.self = settings.self;
     identity_.timeouts.peerSilenceMs = PEER_SILENCE_MS;
@@ -118,6 +122,22 @@
 
 int Membership::size() const { return 1 + static_cast<int>(links_.peers().size()); }
 
+int Membership::peersUp() const
+{
+    const auto peers = links_.peers();
+    return static_cast<int>(std::count_if(peers.begin(), peers.end(), [](const Peer* peer) { return peer->isUp; }));
+}
+
+loop::TimeMs Membership::oldestReportMs() const
+{
+    loop::TimeMs oldest = 0;
+    for (const auto* peer : links_.peers()) {
+        if (peer->isUp)
+            oldest = std::max(oldest, loop_.now() - peer->lastHeardAt);
+    }
+    return oldest;
+}
+
 bool Membership::hasPeerWithoutStore() const
 {
     return std::any_of(
@@ -138,14 +158,13 @@
 
 void Membership::onTable(const Rows& rows)
 {
-    const std::string ownKey = VM_PREFIX + settings_.self.id;
     std::string secret;
     std::uint64_t ownVersion = 0;
     bool isJoined = false;
     for (const auto& row : rows) {
         if (row.key == SECRET_KEY)
             secret = row.value;
-        if (row.key == ownKey) {
+        if (row.key == ownKey()) {
             ownVersion = row.version;
             isJoined = row.value == rowOf(settings_.self);
         }
@@ -157,24 +176,30 @@
     }
     identity_.fleetSecret = secret;
     for (const auto& row : rows) {
-        if (row.key.rfind(VM_PREFIX, 0) != 0 || row.key == ownKey)
-            continue;
-        try {
-            links_.putPeer(parseVm(row));
-        } catch (const json::exception& e) {
-            log_.warn("member-row-unreadable", { { "key", row.key }, { "reason", e.what() } });
-        }
+        if (isMember(row) && row.key != ownKey())
+            learnPeer(row);
     }
     hooks_.onPeersChanged();
     openLinks();
 }
 
+void Membership::learnPeer(const store::VersionedRow& row)
+{
+    try {
+        links_.putPeer(parseVm(row));
+    } catch (const json::exception& e) {
+        log_.warn("member-row-unreadable", { { "key", row.key }, { "reason", e.what() } });
+    }
+}
+
+std::string Membership::ownKey() const { return VM_PREFIX + settings_.self.id; }
+
 /// Writes the own row, and the secret when there is none yet, then reads again: of two daemons that join at the same
 /// time, at least the later one sees the other.
 void Membership::join(const std::string& secret, bool isNewSecret, std::uint64_t ownVersion)
 {
     std::vector<store::RowWrite> writes;
-    writes.push_back({ TABLE, VM_PREFIX + settings_.self.id, rowOf(settings_.self), ownVersion, true });
+    writes.push_back({ TABLE, ownKey(), rowOf(settings_.self), ownVersion, true });
     if (isNewSecret)
         writes.push_back({ TABLE, SECRET_KEY, secret, 0, true });
     store_.commit(writes, [this](RowCommitOutcome outcome) {
@@ -192,6 +217,87 @@
     links_.start();
     loop_.every(LOADS_PERIOD_MS, [this] { sendLoads(); });
     loop_.every(REPAIR_PERIOD_MS, [this] { repairTables(); });
+    renewLater();
+}
+
+// ---- private: renewal ----
+
+/// Spreads the renewals of daemons that started together over a quarter of the time.
+void Membership::renewLater()
+{
+    const auto spread = static_cast<loop::TimeMs>(routing::nodeKey(settings_.self.id) % 256);
+    loop_.after(renewalMs_ - renewalMs_ / 4 * spread / 256, [this] { renew(); });
+}
+
+void Membership::renew()
+{
+    store_.read(TABLE, VM_PREFIX, [this](const store::RowSet& answer) {
+        if (answer.outcome != ReadOutcome::Answered)
+            log_.warn("renewal-failed", { { "reason", answer.reason } });
+        else if (!answer.isTruncated)
+            renewAmong(answer.rows);
+        renewLater();
+    });
+}
+
+/// Writes the own row again, also if another daemon had removed it, and deals with the rows of those that are gone.
+void Membership::renewAmong(const Rows& rows)
+{
+    std::uint64_t ownVersion = 0;
+    for (const auto& row : rows) {
+        if (!isMember(row))
+            continue;
+        if (row.key == ownKey())
+            ownVersion = row.version;
+        else if (isGone(row))
+            removeRow(row);
+        else
+            learnPeer(row);
+    }
+    forgetUnlisted(rows);
+    hooks_.onPeersChanged();
+    store_.commit({ { TABLE, ownKey(), rowOf(settings_.self), ownVersion, true } }, [this](RowCommitOutcome outcome) {
+        if (outcome != RowCommitOutcome::Committed)
+            log_.warn("renewal-failed", { { "reason", "the row was not written" } });
+    });
+}
+
+bool Membership::isGone(const store::VersionedRow& row)
+{
+    Renewals& renewals = renewals_[row.key];
+    renewals.missed = renewals.version == row.version ? renewals.missed + 1 : 0;
+    renewals.version = row.version;
+    const auto* peer = links_.find(routing::nodeKey(row.key.substr(std::string(VM_PREFIX).size())));
+    return renewals.missed >= MISSED_RENEWALS && !(peer && peer->isUp);
+}
+
+/// Forgets the peers that are down and have no row, or one that nobody renews.
+void Membership::forgetUnlisted(const Rows& rows)
+{
+    std::vector<NodeKey> unlisted;
+    for (const auto* peer : links_.peers()) {
+        const std::string key = VM_PREFIX + peer->vm.id;
+        const bool isListed = std::any_of(rows.begin(), rows.end(), [&](const auto& row) { return row.key == key; });
+        const auto renewals = renewals_.find(key);
+        const bool isRenewed = renewals == renewals_.end() || renewals->second.missed < MISSED_RENEWALS;
+        if (!peer->isUp && !(isListed && isRenewed))
+            unlisted.push_back(peer->key);
+    }
+    for (const NodeKey key : unlisted) {
+        log_.info("peer-forgotten", { { "peer", links_.find(key)->vm.id } });
+        links_.removePeer(key);
+    }
+}
+
+/// One of the leading daemons removes the row, unless its owner has written it meanwhile.
+void Membership::removeRow(const store::VersionedRow& row)
+{
+    if (!isLeading_)
+        return;
+    store::RowWrite removal { TABLE, row.key, "", row.version, true, true };
+    store_.commit({ removal }, [this, key = row.key](RowCommitOutcome outcome) {
+        log_.info("member-row-removed", { { "key", key }, { "done", outcome == RowCommitOutcome::Committed } });
+    });
 }
 
 // ---- private: messages ----
@@ -311,9 +417,10 @@
         ++able;
         before += peer->key < routing::nodeKey(settings_.self.id);
     }
+    isLeading_ = before < LEADERS;
     const auto watchMs = WATCH_MS * static_cast<loop::TimeMs>(std::min(able, LEADERS));
     for (auto& [table, shared] : shared_)
-        shared.watcher->setLeading(before < LEADERS, watchMs);
+        shared.watcher->setLeading(isLeading_, watchMs);
 }
 
 void Membership::passOn(const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes)
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -15,17 +15,24 @@
 
 /// The daemons that find each other through the store, and what they tell each other on peer links.
 ///
-/// Each daemon writes one row when it starts at a new address, reads the others' rows once and dials them; the peers
-/// learn of it from its hello. Who is alive is told by the links, not by the store. The secret that links are proved
-/// with lies in the same table.
+/// Each daemon writes one row when it starts at a new address, reads the others' rows and dials them; the peers learn
+/// of it from its hello. Who is alive is told by the links. Rows are renewed now and then, so that those of VMs that
+/// are gone for good can be told from others and removed. The secret that links are proved with lies in the same table.
 class Membership {
 public:
+    /// Time between two renewals of a row; with a read and a write each, 330 daemons make 2.2 calls a second.
+    static constexpr loop::TimeMs RENEWAL_MS = 300'000;
+
+    /// A daemon that did not renew its row for so many renewals of another one is gone, unless its link is up.
+    static constexpr int MISSED_RENEWALS = 3;
+
     struct Hooks {
         std::function<void()> onPeersChanged; ///< a peer came, left or changed its state
     };
 
     Membership(loop::EventLoop& loop, const settings::FrontSettings& settings, const observe::Log& log,
-        const store::RowStore& store, upstreams::ServerBook& servers, admission::Quarantine& quarantine, Hooks hooks);
+        const store::RowStore& store, upstreams::ServerBook& servers, admission::Quarantine& quarantine, Hooks hooks,
+        loop::TimeMs renewalMs = RENEWAL_MS);
 
     /// Reads the table, joins it and opens the links. Throws Error with AddressInUse.
     void start();
@@ -53,6 +60,10 @@
     /// their own callers, and what all share must be divided by all.
     int size() const;
 
+    /// Number of peers whose link is up, and the age of the oldest report of one of them, in ms.
+    int peersUp() const;
+    loop::TimeMs oldestReportMs() const;
+
     std::uint64_t bytes() const { return links_.rawBytes(); }
 
 private:
@@ -63,10 +74,23 @@
         loop::TimeMs behindSince = 0; // when a peer was first known to have newer rows; 0 when none has
     };
 
+    struct Renewals {
+        std::uint64_t version = 0;
+        int missed = 0; // own renewals since the row changed
+    };
+
     void readTable();
     void onTable(const Rows& rows);
     void join(const std::string& secret, bool isNewSecret, std::uint64_t ownVersion);
     void openLinks();
+    void learnPeer(const store::VersionedRow& row);
+    void renewLater();
+    void renew();
+    void renewAmong(const Rows& rows);
+    bool isGone(const store::VersionedRow& row);
+    void forgetUnlisted(const Rows& rows);
+    void removeRow(const store::VersionedRow& row);
+    std::string ownKey() const;
     void onMessage(const Peer& peer, const PeerMessage& message);
     void onUp(const Peer& peer);
     void onDown(const Peer& peer);
@@ -96,6 +120,9 @@
     std::map<routing::NodeKey, int> toldLoads_;
     loop::TimeMs toldAt_ = 0;
     std::size_t nextAsked_ = 0; // rotates over the peers
+    std::map<std::string, Renewals> renewals_; // by key of the row
+    const loop::TimeMs renewalMs_;
+    bool isLeading_ = false;
     bool linksOpen_ = false;
     bool isReady_ = false;
     bool isLeaving_ = false;
--- a/src/goldcrestcleat/fleet/PeerLinks.cpp
+++ b/src/goldcrestcleat/fleet/PeerLinks.cpp
@@ -58,6 +58,17 @@
     peer.vm = vm;
 }
 
+void PeerLinks::removePeer(NodeKey key)
+{
+    const auto found = peers_.find(key);
+    if (found == peers_.end() || found->second.isUp)
+        return;
+    const auto link = links_.find(key);
+    if (link != links_.end())
+        drop(LinkPtr(link->second), "forgotten");
+    peers_.erase(key);
+}
+
 bool PeerLinks::send(NodeKey peer, const PeerMessage& message)
 {
     const auto link = links_.find(peer);
--- a/src/goldcrestcleat/fleet/PeerLinks.h
+++ b/src/goldcrestcleat/fleet/PeerLinks.h
@@ -58,6 +58,9 @@
     /// Adds a peer or changes its addresses.
     void putPeer(const settings::EntryVm& vm);
 
+    /// Forgets a peer whose link is down; one that is up stays.
+    void removePeer(routing::NodeKey key);
+
     /// Sends to one peer; false when its link is not up.
     bool send(routing::NodeKey peer, const PeerMessage& message);
 
--- a/src/goldcrestcleat/store/RowStore.h
+++ b/src/goldcrestcleat/store/RowStore.h
@@ -39,13 +39,14 @@
     std::string reason; ///< why there is no answer, for the log
 };
 
-/// A row to be written when every condition of its commit holds.
+/// A row to be written or removed when every condition of its commit holds.
 struct RowWrite {
     std::string table;
     std::string key;
     std::string value;
     std::uint64_t expectedVersion = 0; ///< 0: the row must not exist
     bool isConditional = false;
+    bool isRemoval = false; ///< `value` is not used
 };
 
 /// How a commit ended.
--- a/standins/RowStore.cpp
+++ b/standins/RowStore.cpp
@@ -163,6 +163,8 @@
             ++version_;
             for (const auto& write : request.at("writes"))
                 rows_[{ write.at("table"), write.at("key") }] = { write.at("value"), version_, false };
+            for (const auto& removal : request.at("remove"))
+                rows_[{ removal.at("table"), removal.at("key") }] = { "", version_, true };
             truth_.write(loop_.now(), { { "event", "tx" }, { "writes", request["writes"].size() } });
             if (faults_.take("dropReplyNext"))
                 exchange.abort();
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -76,3 +76,94 @@
     cr_assert(rows[0].key == "vm/vm1" && rows[1].key == "secret");
     cr_assert_geq(rows[1].value.size(), 32);
 }
+
+namespace {
+
+constexpr long long RENEWAL_MS = 20;
+
+/// A store whose rows can be changed and removed; each write makes a new version.
+struct ChangingStore {
+    std::map<std::string, store::VersionedRow> rows;
+    std::uint64_t version = 10;
+
+    void write(const std::string& key, const std::string& value) { rows[key] = { key, value, ++version, false }; }
+
+    store::RowStore port()
+    {
+        store::RowStore port;
+        port.read = [this](const std::string&, const std::string& from, const store::RowStore::ReadHook& onDone) {
+            store::RowSet set;
+            set.outcome = store::ReadOutcome::Answered;
+            set.version = version;
+            for (const auto& [key, row] : rows) {
+                if (key >= from)
+                    set.rows.push_back(row);
+            }
+            onDone(set);
+        };
+        port.commit = [this](const std::vector<store::RowWrite>& writes, const store::RowStore::CommitHook& onDone) {
+            for (const auto& w : writes) {
+                const auto row = rows.find(w.key);
+                if (w.isConditional && (row == rows.end() ? 0 : row->second.version) != w.expectedVersion) {
+                    onDone(store::RowCommitOutcome::Conflict);
+                    return;
+                }
+            }
+            for (const auto& w : writes) {
+                if (w.isRemoval)
+                    rows.erase(w.key);
+                else
+                    write(w.key, w.value);
+            }
+            onDone(store::RowCommitOutcome::Committed);
+        };
+        return port;
+    }
+};
+
+} // namespace
+
+Test(membership, a_row_that_nobody_renews_is_removed_and_its_vm_forgotten)
+{
+    loop::EventLoop loop;
+    const auto settings = settingsOf("vm1");
+    const observe::Log log("vm1", "error");
+    ChangingStore rows;
+    rows.write("secret", "0123456789abcdef");
+    rows.write("vm/gone", memberRow("gone").value);
+    rows.write("vm/kept", memberRow("kept").value);
+    const auto port = rows.port();
+    upstreams::ServerBook servers;
+    admission::Quarantine quarantine;
+    int changes = 0;
+    fleet::Membership membership(loop, settings, log, port, servers, quarantine, { [&] { ++changes; } }, RENEWAL_MS);
+    loop.every(RENEWAL_MS / 2, [&] { rows.write("vm/kept", memberRow("kept").value); });
+    loop.after(20 * RENEWAL_MS, [&] { loop.stop(); });
+    membership.start();
+    loop.run();
+    cr_assert_eq(rows.rows.count("vm/gone"), 0);
+    cr_assert_eq(rows.rows.count("vm/kept"), 1, "its owner writes it");
+    cr_assert_eq(rows.rows.count("vm/vm1"), 1);
+    cr_assert_eq(rows.rows.count("secret"), 1);
+    cr_assert_eq(membership.size(), 2, "a budget is not divided by VMs that are gone");
+}
+
+Test(membership, a_daemon_whose_row_was_removed_writes_it_again)
+{
+    loop::EventLoop loop;
+    const auto settings = settingsOf("vm1");
+    const observe::Log log("vm1", "error");
+    ChangingStore rows;
+    rows.write("secret", "0123456789abcdef");
+    const auto port = rows.port();
+    upstreams::ServerBook servers;
+    admission::Quarantine quarantine;
+    fleet::Membership membership(loop, settings, log, port, servers, quarantine, { [] {} }, RENEWAL_MS);
+    bool wasThere = false;
+    loop.after(RENEWAL_MS, [&] { wasThere = rows.rows.erase("vm/vm1") > 0; });
+    loop.after(6 * RENEWAL_MS, [&] { loop.stop(); });
+    membership.start();
+    loop.run();
+    cr_assert(wasThere);
+    cr_assert_eq(rows.rows.count("vm/vm1"), 1);
+}
