--- a/bench/Player.h
+++ b/bench/Player.h
@@ -2,8 +2,9 @@
 
 #include "bench/Measures.h"
 #include "bench/Trace.h"
+#include "goldcrestcleat/forwarding/EventReader.h"
 #include "goldcrestcleat/http/Client.h"
-#include "goldcrestcleat/requests/SseReader.h"
+#include "goldcrestcleat/requests/CompletionEvent.h"
 #include "goldcrestcleat/routing/LoadView.h"
 #include "harness/Rig.h"
 #include "standins/AnswerText.h"
@@ -92,7 +93,7 @@
         int engine = -1;
         int router = 0;
         http::Call::Ptr call;
-        requests::SseReader events;
+        goldcrestcleat::forwarding::EventReader events;
         std::string text;
         std::string error;
         int status = 0;
@@ -146,7 +147,7 @@
     void send(const JobPtr& job)
     {
         ++job->tries;
-        job->events.reset();
+        job->events = {};
         job->text.clear();
         job->error.clear();
         job->isWhole = false;
@@ -205,7 +206,11 @@
             job->error.append(part);
             return;
         }
-        job->events.feed(part, [&](const requests::SseEvent& event) {
+        job->events.feed(part, [&](const goldcrestcleat::forwarding::StreamEvent& whole) {
+            const auto data = goldcrestcleat::forwarding::dataOf(whole.bytes);
+            if (data.empty())
+                return true;
+            const auto event = requests::classifyEvent(data);
             if (event.isDone)
                 job->isWhole = true;
             if (!event.hasContent)
--- a/src/goldcrestcleat/Daemon.cpp
+++ b/src/goldcrestcleat/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "goldcrestcleat/gateway/AdminGateway.h"
 #include "goldcrestcleat/gateway/CallerGateway.h"
 #include "goldcrestcleat/gateway/MetricsGateway.h"
+#include "goldcrestcleat/requests/ChatCompletion.h"
 #include "goldcrestcleat/requests/Claims.h"
 #include "goldcrestcleat/store/VmList.h"
 
@@ -36,25 +37,16 @@
         , store_(loop_, table_, book_)
         , claims_(loop_, table_)
         , fleet_(loop_, settings_, log_, directory_, view_, book_, store_, quarantine_)
-        , prober_(loop_, directory_,
-              { [this](routing::NodeKey key) { return fleet_.isHome(key); },
-                  [this](routing::NodeKey key, int running) { fleet_.tickets().onReport(key, running); },
-                  [this](const upstreams::Upstream& upstream) { fleet_.announce(upstream); } })
+        , prober_(loop_, directory_, proberHooks())
         , vmList_(loop_, settings_.platformAddress, settings_.timeouts.platformMs,
               [this](const std::vector<store::VmEntry>& entries) { onVmList(entries); })
+        , forwarding_ { loop_, client_, metrics_, quarantine_, {}, nullptr }
         , env_ { loop_, settings_, log_, metrics_, explanations_, client_, directory_, prober_, view_, fleet_,
-            quarantine_, retryBudget_, openCounts_, hints_, claims_, random_ }
-        , callers_(env_, chats_, profiles_)
+            quarantine_, retryBudget_, openCounts_, hints_, claims_, random_, forwarding_ }
+        , callers_(env_, profiles_)
         , admin_(env_, store_, book_, profiles_)
     {
-        book_.onChange = [this](const fleet::ConfigBook::Item& item) { onConfig(item); };
-        directory_.onChange = [this](const upstreams::Upstream& upstream) { onUpstream(upstream); };
-        fleet_.tickets().onMove = [this](routing::NodeKey engine) { chats_.moveOneFrom(engine); };
-        loop_.onLateTurn = [this](loop::TimeMs lateMs) { onLateTurn(lateMs); };
-        loop_.onTurn = [this] {
-            if (stopRequested_.exchange(false))
-                beginStop("signal");
-        };
+        joinParts();
     }
 
     int run()
@@ -77,6 +69,26 @@
     void requestStop() { stopRequested_ = true; }
 
 private:
+    upstreams::Prober::Hooks proberHooks()
+    {
+        return { [this](routing::NodeKey key) { return fleet_.isHome(key); },
+            [this](routing::NodeKey key, int running) { fleet_.tickets().onReport(key, running); },
+            [this](const upstreams::Upstream& upstream) { fleet_.announce(upstream); } };
+    }
+
+    /// Connects the hooks of parts that were made before those that they call.
+    void joinParts()
+    {
+        book_.onChange = [this](const fleet::ConfigBook::Item& item) { onConfig(item); };
+        directory_.onChange = [this](const upstreams::Upstream& upstream) { onUpstream(upstream); };
+        fleet_.tickets().onMove = [this](routing::NodeKey engine) { requests::moveOneFrom(forwarding_, engine); };
+        loop_.onLateTurn = [this](loop::TimeMs lateMs) { onLateTurn(lateMs); };
+        loop_.onTurn = [this] {
+            if (stopRequested_.exchange(false))
+                beginStop("signal");
+        };
+    }
+
     void onVmList(const std::vector<store::VmEntry>& entries)
     {
         directory_.applyList(entries);
@@ -155,10 +167,12 @@
 
     void refreshMetrics()
     {
+        std::map<std::string, int> loads;
         for (const auto* upstream : directory_.all()) {
             if (const auto* entry = view_.find(upstream->key))
-                metrics_.setEngineLoad(upstream->id, entry->load);
+                loads[upstream->id] = entry->load;
         }
+        metrics_.setEngineLoads(loads);
         metrics_.setOpenRequests(openCounts_.total());
         metrics_.setQueueDepth(fleet_.tickets().desk().queued());
         metrics_.setRememberedChats(fleet_.rememberedChats());
@@ -192,8 +206,8 @@
     fleet::Fleet fleet_;
     upstreams::Prober prober_;
     store::VmListWatcher vmList_;
+    forwarding::Environment forwarding_;
     requests::Environment env_;
-    requests::ChatRequests chats_;
     gateway::CallerGateway callers_;
     gateway::AdminGateway admin_;
     std::unique_ptr<gateway::MetricsGateway> metricsGateway_;
--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -3,13 +3,17 @@
 #include "goldcrestcleat/admission/CrashEvidence.h"
 #include "goldcrestcleat/fleet/Membership.h"
 #include "goldcrestcleat/gateway/MetricsGateway.h"
+#include "goldcrestcleat/observe/SecondSummary.h"
+#include "goldcrestcleat/store/CountedStore.h"
 #include "goldcrestcleat/store/TableWatcher.h"
 
 #include <algorithm>
 #include <atomic>
 #include <fstream>
 #include <iterator>
+#include <map>
 #include <optional>
+#include <set>
 
 namespace goldcrestcleat {
 
@@ -24,6 +28,8 @@
     constexpr loop::TimeMs FIRST_BAN_MS = 20'000; // a request that crashes servers runs twice a minute at most
     constexpr loop::TimeMs SETTINGS_CHECK_MS = 1'000; // a changed file may come without a signal
     constexpr loop::TimeMs STOP_CHECK_MS = 50;
+    constexpr loop::TimeMs SUMMARY_MS = 1'000;
+    constexpr std::size_t MAX_LOADS_LOGGED = 64; // bounds the line of a second
 
     // Shares of the time between the stop signal and the kill. Callers with an old entry answer still come during the
     // first part; what has begun by then has the rest to end.
@@ -51,36 +57,24 @@
         , quarantine_(FIRST_BAN_MS)
         , contexts_(CONTEXT_MEMORY_BYTES)
         , client_(loop_, { ANSWER_HEAD_BYTES, ANSWER_BODY_BYTES })
-        , store_(ports_.makeStore(loop_, settings_.storeAddress))
+        , store_(store::countCalls(ports_.makeStore(loop_, settings_.storeAddress),
+              [this](const std::string& call, const std::string& outcome) { metrics_.onStoreCall(call, outcome); }))
         , configurationWatch_(loop_, store_, ports_.configurationTable,
-              { [this](const Rows& rows) { onConfigurationRows(rows); },
-                  [this](bool isAnswering, const std::string& reason) {
-                      onStoreContact(ports_.configurationTable, isAnswering, reason);
-                  } })
+              watchHooks(ports_.configurationTable, [this](const Rows& rows) { onConfigurationRows(rows); }))
         , serversWatch_(loop_, store_, ports_.serversTable,
-              { [this](const Rows& rows) { onServerRows(rows); },
-                  [this](bool isAnswering, const std::string& reason) {
-                      onStoreContact(ports_.serversTable, isAnswering, reason);
-                  } })
+              watchHooks(ports_.serversTable, [this](const Rows& rows) { onServerRows(rows); }))
         , membership_(loop_, settings_, log_, store_, servers_, quarantine_, { [this] { updateBudget(); } })
-        , env_ { loop_, settings_, log_, metrics_, client_, servers_, retryBudget_, quarantine_, contexts_,
-            ports_.dialect, random_, [this] { return routes_; },
-            [this](routing::NodeKey server) { onServerEnded(server); },
+        , requests_ { loop_, client_, metrics_, quarantine_, {}, nullptr }
+        , env_ { requests_, settings_, log_, servers_, retryBudget_, contexts_, ports_.dialect, random_,
+            [this] { return routes_; }, [this](routing::NodeKey server) { onServerEnded(server); },
             [this](routing::NodeKey server, admission::Fingerprint fingerprint, std::uint64_t crashId) {
                 crashEvidence_.onBroken(server, fingerprint, crashId, loop_.now());
             },
-            [this](admission::Fingerprint fingerprint) { membership_.forgive(fingerprint); }, {} }
+            [this](admission::Fingerprint fingerprint) { membership_.forgive(fingerprint); } }
         , gateway_(
               env_, ports_.entry, { [this] { return isReady(); }, [this] { return membership_.entryAddresses(); } })
     {
-        client_.setConnectTimeout(CONNECT_TIMEOUT_MS);
-        loop_.onTurn = [this] { handleSignals(); };
-        loop_.onLateTurn = [this](loop::TimeMs lateMs) { log_.warn("loop-late", { { "ms", lateMs } }); };
-        loop_.onSlowTurn = [this](loop::TimeMs tookMs) { log_.decision("loop-slow", { { "ms", tookMs } }); };
-        servers_.isStoreAway = [this] { return isStoreAway(); };
-        membership_.share(configurationWatch_);
-        membership_.share(serversWatch_);
-        updateBudget();
+        joinParts();
     }
 
     int run()
@@ -91,9 +85,10 @@
         serversWatch_.start();
         membership_.start();
         loop_.every(SETTINGS_CHECK_MS, [this] { reloadIfChanged(); });
+        loop_.every(SUMMARY_MS, [this] { writeSummary(); });
         log_.info("started", { { "caller", settings_.self.caller }, { "dataCentre", settings_.self.dataCentre } });
         loop_.run();
-        log_.info("stopped", { { "open", env_.open.size() } });
+        log_.info("stopped", { { "open", requests_.open.size() } });
         return 0;
     }
 
@@ -103,6 +98,32 @@
 private:
     using Rows = std::vector<store::VersionedRow>;
 
+    store::TableWatcher::Hooks watchHooks(const std::string& table, std::function<void(const Rows&)> onRows)
+    {
+        return { std::move(onRows), [this, table](bool isAnswering, const std::string& reason) {
+                    onStoreContact(table, isAnswering, reason);
+                } };
+    }
+
+    /// Connects the hooks of parts that were made before those that they call.
+    void joinParts()
+    {
+        client_.setConnectTimeout(CONNECT_TIMEOUT_MS);
+        loop_.onTurn = [this] { handleSignals(); };
+        loop_.onLateTurn = [this](loop::TimeMs lateMs) { log_.warn("loop-late", { { "ms", lateMs } }); };
+        loop_.onTurnEnd = [this](loop::TimeMs lateMs, loop::TimeMs tookMs) {
+            metrics_.onTurn(static_cast<double>(lateMs), static_cast<double>(tookMs));
+        };
+        loop_.onSlowTurn = [this](loop::TimeMs tookMs) { log_.decision("loop-slow", { { "ms", tookMs } }); };
+        servers_.isStoreAway = [this] { return isStoreAway(); };
+        requests_.onFinished = [this](const forwarding::Summary& summary) {
+            second_.add(summary.kind, summary.code, summary.firstAnswerMs);
+        };
+        membership_.share(configurationWatch_);
+        membership_.share(serversWatch_);
+        updateBudget();
+    }
+
     bool isReady() const { return routes_ && serversWatch_.mirror().isLoaded() && !isStopping_; }
 
     void handleSignals()
@@ -254,12 +275,40 @@
 
     void refreshMetrics()
     {
-        for (const auto& [key, server] : servers_.all())
-            metrics_.setEngineLoad(server.entry.id, server.load());
-        metrics_.setOpenRequests(static_cast<int>(env_.open.size()));
+        std::map<std::string, int> loads;
+        std::set<std::string> services;
+        for (const auto& [key, server] : servers_.all()) {
+            loads[server.entry.id] = server.load();
+            services.insert(server.entry.service);
+        }
+        metrics_.setEngineLoads(loads);
+        for (const auto& service : services)
+            metrics_.setRetriesLeft(service, retryBudget_.left(service, loop_.now()));
+        metrics_.setConfigurationVersion(routes_ ? routes_->version() : 0);
+        metrics_.setPeers(membership_.peersUp(), static_cast<double>(membership_.oldestReportMs()));
+        metrics_.setLogLinesLost(log_.omittedLines(), observe::Log::droppedLines());
+        metrics_.setOpenRequests(static_cast<int>(requests_.open.size()));
         metrics_.setControlBytes("peer", membership_.bytes());
     }
 
+    /// Writes how the requests of the last second ended and how loaded the servers are believed to be.
+    void writeSummary()
+    {
+        if (second_.isEmpty())
+            return;
+        nlohmann::json fields = second_.take();
+        nlohmann::json loads = nlohmann::json::object();
+        for (const auto& [key, server] : servers_.all()) {
+            if (server.load() > 0 && loads.size() < MAX_LOADS_LOGGED)
+                loads[server.entry.id] = server.load();
+        }
+        fields["loads"] = loads;
+        fields["config"] = routes_ ? routes_->version() : 0;
+        fields["peers"] = membership_.peersUp();
+        fields["open"] = requests_.open.size();
+        log_.info("second", std::move(fields));
+    }
+
     // ---- planned stop ----
 
     void beginStop()
@@ -267,7 +316,7 @@
         if (isStopping_)
             return;
         isStopping_ = true;
-        log_.info("stop-begun", { { "open", env_.open.size() } });
+        log_.info("stop-begun", { { "open", requests_.open.size() } });
         updateReady();
         membership_.beginLeaving();
         gateway_.beginStop();
@@ -282,7 +331,7 @@
     void stopWhenDone()
     {
         gateway_.closeIdle();
-        if (env_.open.empty() && gateway_.isQuiet())
+        if (requests_.open.empty() && gateway_.isQuiet())
             loop_.stop();
         else
             loop_.after(STOP_CHECK_MS, [this] { stopWhenDone(); });
@@ -295,6 +344,7 @@
     loop::EventLoop loop_;
     observe::Log log_;
     observe::Metrics metrics_;
+    observe::SecondSummary second_;
     std::mt19937_64 random_;
     upstreams::ServerBook servers_;
     admission::Quarantine quarantine_;
@@ -308,7 +358,8 @@
     store::TableWatcher configurationWatch_;
     store::TableWatcher serversWatch_;
     fleet::Membership membership_;
-    forwarding::ForwardEnvironment env_;
+    forwarding::Environment requests_;
+    forwarding::RoutedEnvironment env_;
     gateway::FrontGateway gateway_;
     std::unique_ptr<gateway::MetricsGateway> metricsGateway_;
     std::atomic<bool> stopRequested_ { false };
--- a/src/goldcrestcleat/admission/SharedRetryBudget.h
+++ b/src/goldcrestcleat/admission/SharedRetryBudget.h
@@ -34,15 +34,21 @@
     /// Takes one retry; false when the budget of this window is spent.
     bool tryTake(const std::string& service, loop::TimeMs now)
     {
-        Window& counts = window(service, now);
-        const double earned = rule_.ratio * static_cast<double>(counts.requests.size());
-        const double allowed = USED_SHARE * (earned + rule_.extra / std::max(1, rule_.daemons));
-        if (static_cast<double>(counts.retries.size()) + 1 > allowed)
+        if (left(service, now) < 1)
             return false;
-        counts.retries.push_back(now);
+        windows_[service].retries.push_back(now);
         return true;
     }
 
+    /// Returns how many retries a service has left in this window; fractions have to grow to one first.
+    double left(const std::string& service, loop::TimeMs now)
+    {
+        const Window& counts = window(service, now);
+        const double earned = rule_.ratio * static_cast<double>(counts.requests.size());
+        const double allowed = USED_SHARE * (earned + rule_.extra / std::max(1, rule_.daemons));
+        return allowed - static_cast<double>(counts.retries.size());
+    }
+
 private:
     struct Window {
         std::deque<loop::TimeMs> requests;
--- a/src/goldcrestcleat/forwarding/Dialect.h
+++ b/src/goldcrestcleat/forwarding/Dialect.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "goldcrestcleat/http/Client.h"
+#include "goldcrestcleat/forwarding/RequestHooks.h"
 #include "goldcrestcleat/http/Server.h"
 #include "goldcrestcleat/requests/Answers.h"
 
@@ -10,7 +10,6 @@
 #include <string>
 #include <vector>
 
-/// Requests that are passed on to a server of their route, and the answers on their way back.
 namespace goldcrestcleat::forwarding {
 
 /// A part of a prompt that requests may share.
@@ -43,15 +42,7 @@
     std::string fetchFrom; ///< address of an engine that may hold the prompt's context; empty for none
 };
 
-/// The head of a server's answer.
-struct AnswerHead {
-    int status = 0;
-    bool isGenuine = false; ///< signed by a server
-    bool hasNotRun = false; ///< the server states that it did not and will not run the request
-    http::Fields fields; ///< to be passed on
-};
-
-/// How requests and answers look on the wire; the life cycle knows nothing of it.
+/// How requests that are routed by host and path look on the wire, and the answers to them.
 struct Dialect {
     std::function<Inbound(const http::Exchange&)> decode;
     std::function<http::Request(const http::Exchange&, const Addition&)> encode;
--- a/src/goldcrestcleat/forwarding/EventReader.cpp
+++ b/src/goldcrestcleat/forwarding/EventReader.cpp
@@ -8,6 +8,7 @@
 
     constexpr std::string_view EVENT_END = "\n\n";
     constexpr std::string_view ID_FIELD = "id:";
+    constexpr std::string_view DATA_FIELD = "data:";
 
     std::optional<std::uint64_t> parseId(std::string_view line)
     {
@@ -39,6 +40,16 @@
 
 } // namespace
 
+std::string_view dataOf(std::string_view event)
+{
+    if (event.substr(0, DATA_FIELD.size()) != DATA_FIELD)
+        return {}; // a comment or another field
+    event.remove_prefix(DATA_FIELD.size());
+    if (!event.empty() && event.front() == ' ')
+        event.remove_prefix(1);
+    return event.substr(0, event.find('\n'));
+}
+
 bool EventReader::feed(std::string_view bytes, const EventHook& onEvent)
 {
     buffer_.append(bytes);
--- a/src/goldcrestcleat/forwarding/EventReader.h
+++ b/src/goldcrestcleat/forwarding/EventReader.h
@@ -14,11 +14,14 @@
     std::optional<std::uint64_t> id;
 };
 
+/// Returns the text of an event's first line if that is a data field, or an empty view.
+std::string_view dataOf(std::string_view event);
+
 /// Cuts a byte stream into whole server-sent events and reads their ids.
 class EventReader {
 public:
     /// An event that is longer than this is taken for rubbish, in bytes.
-    static constexpr std::size_t MAX_EVENT_BYTES = 256 * 1024;
+    static constexpr std::size_t MAX_EVENT_BYTES = 1024 * 1024;
 
     using EventHook = std::function<bool(const StreamEvent&)>; ///< false stops reading
 
--- a/src/goldcrestcleat/forwarding/ForwardAnswer.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardAnswer.cpp
@@ -1,16 +1,12 @@
 #include "goldcrestcleat/forwarding/ForwardRequest.h"
 
 #include <Poco/Net/HTTPResponse.h>
-#include <xxhash.h>
-
-#include <algorithm>
 
 // The part of ForwardRequest that passes an answer on and decides what follows a failed attempt.
 
 namespace goldcrestcleat::forwarding {
 
 using errors::ResultCode;
-using routes::CallKind;
 using upstreams::Outcome;
 
 namespace {
@@ -19,72 +15,80 @@
     constexpr int MAX_UNREACHABLE = 4; // servers that no connection could be opened to
     constexpr std::size_t MAX_CALLER_BACKLOG_BYTES = 64 * 1024;
 
-    // Time without progress after which a repeatable request is given to another server: multiples of the route's goal
-    // for the first byte and of its longest pause for the next event, never less than the shortest time.
-    constexpr loop::TimeMs FIRST_ANSWER_GOALS = 3;
-    constexpr loop::TimeMs NEXT_EVENT_PAUSES = 3;
-    constexpr loop::TimeMs SHORTEST_ALLOWANCE_MS = 250;
-
-    bool isSuccess(int status) { return status >= 200 && status < 300; }
-
-    bool isServerError(int status) { return status >= 500; }
-
-    std::uint64_t crashIdOf(routing::NodeKey server, const std::string& requestId)
+    /// Short names of the ways to fail, for metrics.
+    const char* nameOf(FailureKind kind)
     {
-        return XXH3_64bits_withSeed(requestId.data(), requestId.size(), server);
+        switch (kind) {
+        case FailureKind::Silence:
+            return "silence";
+        case FailureKind::Broken:
+            return "broken";
+        case FailureKind::Unreadable:
+            break;
+        }
+        return "unreadable";
     }
 
+    bool isSuccess(int status) { return status >= 200 && status < 300; }
+
 } // namespace
 
 // ---- private: the answer ----
 
 void ForwardRequest::onHead(const Poco::Net::HTTPResponse& head)
 {
-    attempt_.head = env_.dialect.readHead(head);
-    attempt_.hasHead = true;
+    attempt_.head = hooks_.readHead(head);
     if (firstAnswerMs_ == 0)
-        firstAnswerMs_ = env_.loop.now() - exchange_->arrivedAt();
-    lastProgressAt_ = env_.loop.now();
+        firstAnswerMs_ = env_.loop.now() - arrivedAt();
+    if (attempt_.head.isForeign)
+        onBroken(FailureKind::Unreadable, "answer to another request");
+    else if (attempt_.head.goesOnElsewhere)
+        giveUp(ResultCode::AnswerIncomplete, "the server does not resume");
 }
 
 bool ForwardRequest::isEventStream() const
 {
-    return route_->kind == CallKind::Stream && attempt_.head.isGenuine && isSuccess(attempt_.head.status);
+    return plan_.isStream && attempt_.head.isGenuine && isSuccess(attempt_.head.status);
 }
 
 void ForwardRequest::onBody(std::string_view part)
 {
-    lastProgressAt_ = env_.loop.now();
     if (!isEventStream()) {
         attempt_.body.append(part);
+        if (!plan_.isAttemptTimed)
+            noteProgress();
         return;
     }
+    noteProgress();
     const auto self = shared_from_this();
     const int serial = attempt_.serial;
     const bool goesOn = attempt_.events.feed(part, [this](const StreamEvent& event) { return onEvent(event); });
     flush();
-    if (!goesOn && !isEnded_ && attempt_.serial == serial)
-        onBroken("unreadable event");
+    if (isEnded_ || attempt_.serial != serial)
+        return;
+    if (isComplete_)
+        finishStream();
+    else if (!goesOn)
+        onBroken(FailureKind::Unreadable, "unreadable event");
 }
 
 bool ForwardRequest::onEvent(const StreamEvent& event)
 {
-    // A run that goes on elsewhere may repeat events that the caller has.
-    const bool isKnown = event.id && lastForwardedId_ && *event.id <= *lastForwardedId_;
-    if (isKnown)
+    const EventReading reading = hooks_.readEvent(event, position_);
+    if (reading.kind == EventReading::Kind::Skip)
         return true;
-    if (!event.id)
-        return false;
-    if (lastForwardedId_ && *event.id != *lastForwardedId_ + 1)
+    if (reading.kind == EventReading::Kind::Unreadable)
         return false;
     if (!isStreaming_) {
         isStreaming_ = true;
         exchange_->startStream(attempt_.head.status, attempt_.head.fields);
     }
-    lastForwardedId_ = event.id;
-    output_.append(event.bytes);
-    env_.metrics.onStreamedToken();
-    return true;
+    position_ = reading.position;
+    output_.append(reading.bytes);
+    if (reading.hasContent)
+        env_.metrics.onStreamedToken();
+    isComplete_ = reading.kind == EventReading::Kind::Complete;
+    return !isComplete_;
 }
 
 /// Writes the events of one read together.
@@ -94,30 +98,27 @@
         return;
     exchange_->write(output_);
     output_.clear();
-    if (attempt_.call && exchange_->backlog() > MAX_CALLER_BACKLOG_BYTES)
+    if (attempt_.call && exchange_->backlog() > MAX_CALLER_BACKLOG_BYTES) {
+        isCallerSlow_ = true;
         attempt_.call->setReading(false);
+    }
 }
 
 void ForwardRequest::onEnd()
 {
-    if (attempt_.head.hasNotRun) {
+    if (attempt_.head.hasNotRun)
         onRejected();
-        return;
-    }
-    if (isEventStream())
-        finishStream();
-    else
+    else if (!isEventStream())
         finishPlain();
+    else if (attempt_.events.hasPartialEvent() || plan_.endsWithMarker)
+        onBroken(FailureKind::Unreadable, "stream ended too early");
+    else
+        finishStream();
 }
 
 void ForwardRequest::finishStream()
 {
-    if (attempt_.events.hasPartialEvent()) {
-        onBroken("stream ended within an event");
-        return;
-    }
-    env_.servers.record(attempt_.server, Outcome::Answered, env_.loop.now());
-    env_.forgive(fingerprint_);
+    hooks_.answered(attempt_.placement, attempt_.head, "");
     if (!isStreaming_)
         exchange_->startStream(attempt_.head.status, attempt_.head.fields);
     exchange_->finishStream();
@@ -128,19 +129,18 @@
 {
     const AnswerHead& head = attempt_.head;
     if (!head.isGenuine || isStreaming_) {
-        onBroken("answer without the server's signature");
+        onBroken(FailureKind::Unreadable, "answer that no server vouches for");
         return;
     }
-    if (isServerError(head.status)) {
-        env_.servers.record(attempt_.server, Outcome::ServerError, env_.loop.now());
+    if (head.isFailure) {
+        hooks_.record(attempt_.placement, Outcome::ServerError);
         ++maybeRan_;
-        if (mayRunAgain() && env_.retryBudget.tryTake(service_, env_.loop.now())) {
-            retry("server error");
+        if (mayRunAgain() && hooks_.tryRetry()) {
+            retry("server error", NextServer::Another);
             return;
         }
     } else {
-        env_.servers.record(attempt_.server, Outcome::Answered, env_.loop.now());
-        env_.forgive(fingerprint_);
+        hooks_.answered(attempt_.placement, head, attempt_.body);
     }
     exchange_->reply(head.status, head.fields, attempt_.body);
     finish(ResultCode::Ok);
@@ -148,14 +148,20 @@
 
 void ForwardRequest::onFailure(http::FailurePoint point, const std::string& reason)
 {
-    if (point != http::FailurePoint::NotSent) {
-        onBroken(reason);
-        return;
-    }
-    env_.servers.record(attempt_.server, Outcome::Unreachable, env_.loop.now());
-    env_.reportUnreachable(attempt_.server);
+    if (point == http::FailurePoint::NotSent)
+        onUnreachable(reason);
+    else
+        onBroken(FailureKind::Broken, reason);
+}
+
+// ---- private: what follows a failed attempt ----
+
+/// No byte of the request left this process, so that another server may be asked whatever the request is.
+void ForwardRequest::onUnreachable(const std::string& reason)
+{
+    hooks_.record(attempt_.placement, Outcome::Unreachable);
     ++unreachable_;
-    explain("unreachable", { { "server", serverId() }, { "reason", reason } });
+    hooks_.explain("unreachable", { { "server", attempt_.placement.serverId }, { "reason", reason } });
     closeAttempt();
     if (unreachable_ > MAX_UNREACHABLE)
         giveUp(ResultCode::NoUpstream, "no connection to " + std::to_string(unreachable_) + " servers");
@@ -163,108 +169,61 @@
         place();
 }
 
-// ---- private: what follows a failed attempt ----
-
-/// The server stated that the request has not run, so that another server may be asked whatever the route's kind.
+/// The server stated that the request has not run, so that another server may be asked whatever the request is.
 void ForwardRequest::onRejected()
 {
-    env_.servers.record(attempt_.server, Outcome::Rejected, env_.loop.now());
+    hooks_.record(attempt_.placement, Outcome::Rejected);
     ++rejections_;
-    if (rejections_ <= MAX_REJECTIONS && env_.retryBudget.tryTake(service_, env_.loop.now())) {
-        retry("rejected");
+    if (rejections_ <= MAX_REJECTIONS && hooks_.tryRetry()) {
+        retry("rejected", NextServer::Another);
         return;
     }
-    explain("rejected", { { "server", serverId() }, { "status", attempt_.head.status } });
-    closeAttempt();
+    hooks_.explain("rejected", { { "server", attempt_.placement.serverId }, { "status", attempt_.head.status } });
     giveUp(ResultCode::NoUpstream, "servers are full");
 }
 
 /// The attempt ended without a whole answer; the request may have run.
-void ForwardRequest::onBroken(const std::string& reason)
+void ForwardRequest::onBroken(FailureKind kind, const std::string& reason)
 {
     const bool wasClosedWhileIdle = attempt_.call && attempt_.call->isReused() && attempt_.call->receivedBytes() == 0;
-    explain("broken",
-        { { "server", serverId() }, { "reason", reason }, { "reused", wasClosedWhileIdle },
-            { "sinceSendMs", env_.loop.now() - attempt_.sentAt }, { "lastEvent", lastForwardedId_.value_or(0) } });
+    hooks_.explain("broken",
+        { { "server", attempt_.placement.serverId }, { "reason", reason }, { "reused", wasClosedWhileIdle },
+            { "sinceSendMs", env_.loop.now() - attempt_.sentAt }, { "lastEvent", position_.value_or(0) } });
     ++maybeRan_;
-    if (!wasClosedWhileIdle) {
-        env_.servers.record(attempt_.server, Outcome::Broken, env_.loop.now());
-        env_.reportBroken(attempt_.server, fingerprint_, crashIdOf(attempt_.server, inbound_.requestId));
-    }
-    const auto* server = env_.servers.find(attempt_.server);
-    if (server && wasClosedWhileIdle)
-        env_.client.dropIdle(server->entry.address);
-    if (env_.quarantine.isBanned(fingerprint_, env_.loop.now())) {
-        closeAttempt();
-        giveUp(ResultCode::UpstreamFailed, "servers crashed while running this request");
-        return;
-    }
-    if (mayRunAgain() && env_.retryBudget.tryTake(service_, env_.loop.now())) {
-        retry(reason);
-        return;
-    }
-    closeAttempt();
-    giveUp(ResultCode::UpstreamFailed, reason);
-}
-
-bool ForwardRequest::mayRunAgain() const { return route_->mayRepeat() && maybeRan_ < route_->attempts; }
-
-void ForwardRequest::retry(const std::string& reason)
-{
-    env_.metrics.onRetry(reason);
-    explain("retry", { { "server", serverId() }, { "reason", reason }, { "lastEvent", lastForwardedId_.value_or(0) } });
-    closeAttempt();
-    const auto self = shared_from_this();
-    env_.loop.after(0, [self] { self->place(); });
-}
-
-// ---- private: time ----
-
-loop::TimeMs ForwardRequest::progressAllowanceMs() const
-{
-    const bool hasBegun = attempt_.hasHead || isStreaming_;
-    const loop::TimeMs usual = hasBegun ? NEXT_EVENT_PAUSES * route_->maxPauseMs : FIRST_ANSWER_GOALS * route_->goalMs;
-    return std::max(usual, SHORTEST_ALLOWANCE_MS);
-}
-
-/// Watches attempts that another one could replace; the others are left until the limit.
-void ForwardRequest::armProgressTimer()
-{
-    if (!route_->mayRepeat())
-        return;
-    const loop::TimeMs dueInMs = lastProgressAt_ + progressAllowanceMs() - env_.loop.now();
-    progressTimer_ = env_.loop.after(std::max<loop::TimeMs>(dueInMs, 1), [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (!self || self->isEnded_)
-            return;
-        self->progressTimer_ = 0;
-        if (self->env_.loop.now() - self->lastProgressAt_ < self->progressAllowanceMs())
-            self->armProgressTimer();
-        else
-            self->onNoProgress();
+    stopCall();
+    const std::weak_ptr<ForwardRequest> weak = weak_from_this();
+    hooks_.judge({ kind, attempt_.placement, wasClosedWhileIdle, isStreaming_ }, [weak, kind, reason](NextServer next) {
+        if (const auto self = weak.lock())
+            self->onJudged(kind, reason, next);
     });
 }
 
-void ForwardRequest::onNoProgress()
+void ForwardRequest::onJudged(FailureKind kind, const std::string& reason, NextServer next)
 {
-    if (!attempt_.call)
+    if (isEnded_)
         return;
-    if (maybeRan_ + 1 < route_->attempts)
-        onBroken("no progress");
+    if (env_.quarantine.isBanned(plan_.fingerprint, env_.loop.now()))
+        giveUp(ResultCode::Quarantined, "servers crashed while running this request");
+    else if (mayRunAgain() && hooks_.tryRetry())
+        retry(nameOf(kind), next);
+    else
+        giveUp(kind == FailureKind::Silence ? ResultCode::UpstreamTimeout : ResultCode::UpstreamFailed, reason);
 }
 
-void ForwardRequest::onTimeUp()
+void ForwardRequest::retry(const std::string& reason, NextServer next)
 {
-    limitTimer_ = 0;
-    if (isEnded_)
+    env_.metrics.onRetry(reason);
+    hooks_.explain("retry",
+        { { "server", attempt_.placement.serverId }, { "reason", reason }, { "lastEvent", position_.value_or(0) } });
+    if (next == NextServer::Same) {
+        stopCall();
+        const Placement placement = attempt_.placement;
+        send(placement, http::Client::Reuse::Fresh);
         return;
-    if (attempt_.call) {
-        explain("time-up", { { "server", serverId() }, { "sinceSendMs", env_.loop.now() - attempt_.sentAt } });
-        if (attempt_.call->isConnected())
-            ++maybeRan_;
     }
     closeAttempt();
-    giveUp(maybeRan_ > 0 ? ResultCode::UpstreamTimeout : ResultCode::DeadlineUnreachable, "time is up");
+    const auto self = shared_from_this();
+    env_.loop.after(0, [self] { self->place(); });
 }
 
 } // namespace goldcrestcleat::forwarding
--- a/src/goldcrestcleat/forwarding/ForwardRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardRequest.cpp
@@ -4,34 +4,30 @@
 
 #include <algorithm>
 
-// Admission, placement and sending, and the end of a request. ForwardAnswer.cpp holds what follows a send.
+// Placement, sending, time and the end of a request. ForwardAnswer.cpp holds what follows a send.
 
 namespace goldcrestcleat::forwarding {
 
 using errors::ResultCode;
 using routing::NO_NODE;
-using routing::NodeKey;
 
 namespace {
 
-    // Requests that wait at a server beyond its slots, as a multiple of them; servers queue a few themselves.
-    constexpr double ENGINE_QUEUE_FACTOR = 1.5;
-    constexpr double SERVICE_QUEUE_FACTOR = 3.0;
-
     // A server's own answer at its deadline has to arrive before this daemon answers in its place.
     constexpr loop::TimeMs LIMIT_GRACE_MS = 80;
 
     // Less time than this is not worth a send: it would be cut before it could be answered.
     constexpr loop::TimeMs SHORTEST_SEND_MS = 10;
 
-    constexpr loop::TimeMs RETRY_AFTER_MS = 300;
-    constexpr loop::TimeMs NOT_READY_RETRY_AFTER_MS = 500;
+    constexpr loop::TimeMs FRAMING_MS = 1'000; // for the last bytes of an answer whose events are whole
 
 } // namespace
 
-ForwardRequest::ForwardRequest(ForwardEnvironment& env, http::Exchange::Ptr exchange)
+ForwardRequest::ForwardRequest(Environment& env, http::Exchange::Ptr exchange, Plan plan, RequestHooks hooks)
     : env_(env)
     , exchange_(std::move(exchange))
+    , plan_(std::move(plan))
+    , hooks_(std::move(hooks))
 {
 }
 
@@ -39,188 +35,120 @@
 {
     const auto self = shared_from_this();
     env_.open.insert(self);
-    inbound_ = env_.dialect.decode(*exchange_);
-    if (!admit())
-        return;
     const std::weak_ptr<ForwardRequest> weak = self;
-    exchange_->onCallerGone = [weak] {
-        if (const auto request = weak.lock())
-            request->onCallerGone();
-    };
-    exchange_->onDrain = [weak] {
-        const auto request = weak.lock();
-        if (request && request->attempt_.call)
-            request->attempt_.call->setReading(true);
+    const auto whileOpen = [weak](void (ForwardRequest::*method)()) {
+        return [weak, method] {
+            if (const auto request = weak.lock())
+                (request.get()->*method)();
+        };
     };
-    limitTimer_ = env_.loop.after(remainingMs() + LIMIT_GRACE_MS, [weak] {
-        if (const auto request = weak.lock())
-            request->onTimeUp();
+    if (!plan_.survivesCaller)
+        exchange_->onCallerGone = whileOpen(&ForwardRequest::onCallerGone);
+    exchange_->onDrain = whileOpen(&ForwardRequest::onDrain);
+    if (plan_.isLimitFinal)
+        limitTimer_ = env_.loop.after(remainingMs() + LIMIT_GRACE_MS, whileOpen(&ForwardRequest::onTimeUp));
+    if (!hooks_.open) {
+        place();
+        return;
+    }
+    hooks_.open([self](std::optional<ResultCode> endedWith) {
+        if (endedWith)
+            self->finish(*endedWith);
+        else
+            self->place();
     });
-    place();
 }
 
-// ---- private: admission ----
+bool ForwardRequest::isMovable() const
+{
+    return plan_.isStream && hooks_.findBetter && attempt_.call && !isMoving_ && !isEnded_;
+}
 
-bool ForwardRequest::admit()
+void ForwardRequest::moveAway()
 {
-    routes_ = env_.routes();
-    if (!routes_) {
-        refuse(ResultCode::NotReady, "", NOT_READY_RETRY_AFTER_MS);
-        return false;
-    }
-    route_ = routes_->find(inbound_.host, inbound_.path);
-    if (!route_) {
-        refuse(ResultCode::UnknownPath, "", 0);
-        return false;
-    }
-    if (route_->needsKey && routes_->checksKeys()) {
-        workspace_ = routes_->holderOf(inbound_.key);
-        if (!workspace_) {
-            refuse(ResultCode::BadWorkspaceKey, "", 0);
-            return false;
+    isMoving_ = true;
+    const auto self = shared_from_this();
+    hooks_.findBetter(attempt_.placement, [self](const PlacementResult& better) {
+        self->isMoving_ = false;
+        if (!better.placement)
+            return;
+        if (self->isEnded_ || !self->attempt_.call) {
+            self->hooks_.release(*better.placement);
+            return;
         }
-    }
-    const std::string caller = workspace_ ? workspace_->name : "";
-    fingerprint_ = admission::fingerprintOf(caller + "\n" + exchange_->head().getURI(), exchange_->body());
-    if (env_.quarantine.isBanned(fingerprint_, env_.loop.now())) {
-        refuse(ResultCode::Quarantined, "", 0);
-        return false;
-    }
-    const loop::TimeMs allowedMs = std::min(inbound_.deadlineMs.value_or(route_->timeoutMs), route_->timeoutMs);
-    limitAt_ = exchange_->arrivedAt() + allowedMs;
-    service_ = routes::chooseService(*route_, std::uniform_real_distribution<double>(0, 1)(env_.random));
-    env_.retryBudget.onRequest(service_, env_.loop.now());
-    return true;
+        self->hooks_.explain(
+            "moved", { { "from", self->attempt_.placement.serverId }, { "to", better.placement->serverId } });
+        self->env_.metrics.onRetry("moved");
+        self->closeAttempt();
+        self->send(*better.placement, http::Client::Reuse::Allowed);
+    });
 }
 
-// ---- private: placement ----
+// ---- private: placement and sending ----
 
 void ForwardRequest::place()
 {
     if (isEnded_)
         return;
-    if (remainingMs() < SHORTEST_SEND_MS) {
-        giveUp(ResultCode::DeadlineUnreachable, "no time left for a send");
+    if (env_.quarantine.isBanned(plan_.fingerprint, env_.loop.now())) {
+        giveUp(ResultCode::Quarantined, "");
         return;
     }
-    const auto able = candidates();
-    if (able.empty()) {
-        giveUp(ResultCode::NoUpstream, service_);
+    if (remainingMs() < SHORTEST_SEND_MS) {
+        giveUp(ResultCode::DeadlineUnreachable, "no time left for a send");
         return;
     }
-    send(choose(able));
-}
-
-std::vector<routing::Candidate> ForwardRequest::candidates() const
-{
-    std::vector<routing::Candidate> able;
-    for (const auto* server : env_.servers.usable(service_, env_.loop.now())) {
-        if (std::find(tried_.begin(), tried_.end(), server->key) != tried_.end())
-            continue;
-        const double queueFactor = server->entry.isEngine ? ENGINE_QUEUE_FACTOR : SERVICE_QUEUE_FACTOR;
-        if (server->load() >= queueFactor * server->entry.slots)
-            continue;
-        const bool isNear = server->entry.dataCentre == env_.settings.self.dataCentre;
-        able.push_back({ server->key, server->load(), server->entry.slots, isNear });
-    }
-    return able;
+    isPlacing_ = true;
+    const std::weak_ptr<ForwardRequest> weak = weak_from_this();
+    hooks_.place(progress(), [weak](const PlacementResult& result) {
+        if (const auto self = weak.lock())
+            self->onPlaced(result);
+    });
 }
 
-routing::WarmChoice ForwardRequest::choose(const std::vector<routing::Candidate>& able) const
+void ForwardRequest::onPlaced(const PlacementResult& result)
 {
-    const auto about = subject();
-    if (about) {
-        // Half of the allowance beyond the mean is left to what the other daemons place meanwhile.
-        const routing::WarmBound bound { 1 + (env_.settings.bounds.loadFactor - 1) / 2, routing::WarmBound().slack };
-        return routing::chooseWarm(able, *about, bound);
+    isPlacing_ = false;
+    if (isEnded_) {
+        if (result.placement)
+            hooks_.release(*result.placement);
+        return;
     }
-    routing::WarmChoice choice;
-    choice.server = routing::chooseLeastLoaded(able, env_.random());
-    return choice;
-}
-
-/// Returns the hash of what the request is about: the last part of its prompt that it shares with others.
-std::optional<std::uint64_t> ForwardRequest::subject() const
-{
-    if (!route_->hasPrompt || inbound_.prompt.empty())
-        return std::nullopt;
-    const std::size_t shared = inbound_.prompt.size() > 1 ? inbound_.prompt.size() - 2 : 0;
-    return routing::chatKey(inbound_.model, inbound_.prompt[shared].id);
-}
-
-/// Returns the address of the engine that most likely holds the context, when the chosen one may not.
-std::string ForwardRequest::fetchAddress(const routing::WarmChoice& choice) const
-{
-    const auto about = subject();
-    if (!about)
-        return "";
-    const NodeKey last = env_.contexts.find(*about);
-    if (last == choice.server)
-        return "";
-    // A holder that has ended would keep the engine waiting.
-    for (const NodeKey key : { last, choice.fetchFrom }) {
-        const auto* holder = env_.servers.find(key);
-        const bool isThere = holder && !holder->vanishedAt && holder->avoidUntil <= env_.loop.now();
-        if (isThere && key != choice.server)
-            return holder->entry.address;
+    if (!result.placement) {
+        giveUp(result.code, result.context);
+        return;
     }
-    return "";
+    send(*result.placement, serial_ == 0 ? plan_.firstReuse : http::Client::Reuse::Fresh);
 }
 
-// ---- private: sending ----
-
-void ForwardRequest::send(const routing::WarmChoice& choice)
+void ForwardRequest::send(const Placement& placement, http::Client::Reuse reuse)
 {
-    const auto* server = env_.servers.find(choice.server);
-    const std::string address = server->entry.address;
     attempt_ = Attempt();
     attempt_.serial = ++serial_;
-    attempt_.server = choice.server;
+    attempt_.placement = placement;
+    attempt_.isPlaced = true;
     attempt_.sentAt = env_.loop.now();
     if (serial_ == 1)
-        env_.metrics.onAddedLatency(static_cast<double>(env_.loop.now() - exchange_->arrivedAt()));
-    const auto request = env_.dialect.encode(*exchange_, additionFor(*server, choice));
-    tried_.push_back(choice.server);
-    env_.servers.open(choice.server);
-    if (const auto about = subject())
-        env_.contexts.put(*about, choice.server);
-    attempt_.call = env_.client.start(address, request, hooksFor(attempt_.serial), reuse());
+        env_.metrics.onAddedLatency(static_cast<double>(env_.loop.now() - arrivedAt()));
+    tried_.push_back(placement.server);
+    const auto request = hooks_.encode(placement, progress());
+    attempt_.call = env_.client.start(placement.address, request, hooksFor(attempt_.serial), reuse);
     lastProgressAt_ = env_.loop.now();
     armProgressTimer();
 }
 
-Addition ForwardRequest::additionFor(const upstreams::Server& server, const routing::WarmChoice& choice) const
-{
-    Addition addition;
-    addition.serverId = server.entry.id;
-    addition.deadlineMs = remainingMs();
-    addition.workspace = workspace_ ? workspace_->name : "";
-    addition.priority = workspace_ && workspace_->priority ? workspace_->priority : route_->priority;
-    addition.lastEventId = lastForwardedId_ ? lastForwardedId_ : inbound_.lastEventId;
-    addition.fetchFrom = fetchAddress(choice);
-    return addition;
-}
-
-/// A connection that the server may have closed for idleness must not carry what can't be repeated.
-http::Client::Reuse ForwardRequest::reuse() const
-{
-    if (serial_ > 1)
-        return http::Client::Reuse::Fresh;
-    return route_->mayRepeat() ? http::Client::Reuse::Allowed : http::Client::Reuse::Recent;
-}
-
 http::Call::Hooks ForwardRequest::hooksFor(int serial)
 {
     const std::weak_ptr<ForwardRequest> weak = weak_from_this();
     // Hooks of an attempt that was given up do nothing.
-    const auto current = [weak, serial]() -> std::shared_ptr<ForwardRequest> {
+    const auto current = [weak, serial]() -> Ptr {
         const auto self = weak.lock();
         return self && !self->isEnded_ && self->attempt_.serial == serial ? self : nullptr;
     };
     http::Call::Hooks hooks;
     hooks.isOwn = [weak](const Poco::Net::HTTPResponse& head) {
         const auto self = weak.lock();
-        return self && self->env_.dialect.isAnswerTo(head, self->inbound_.requestId);
+        return self && self->hooks_.isOwn(head);
     };
     hooks.onHead = [current](const Poco::Net::HTTPResponse& head) {
         if (const auto self = current())
@@ -241,87 +169,169 @@
     return hooks;
 }
 
-// ---- private: the end ----
+// ---- private: time ----
 
-/// Ends a request that got no answer. Says that it has not run only when that is certain.
-void ForwardRequest::giveUp(ResultCode code, const std::string& context)
+loop::TimeMs ForwardRequest::remainingMs() const
+{
+    const bool hasBegun = isStreaming_ && !plan_.isLimitFinal;
+    return hasBegun ? plan_.limitMs : arrivedAt() + plan_.limitMs - env_.loop.now();
+}
+
+void ForwardRequest::noteProgress()
 {
-    if (isStreaming_) {
-        explain("cut", { { "lastEvent", lastForwardedId_.value_or(0) }, { "reason", context } });
-        exchange_->abort(); // the caller must not take what it has for the whole
-        finish(ResultCode::AnswerIncomplete);
+    const loop::TimeMs sinceMs = env_.loop.now() - lastProgressAt_;
+    lastProgressAt_ = env_.loop.now();
+    if (attempt_.hasBody) {
+        longestPauseMs_ = std::max(longestPauseMs_, sinceMs);
         return;
     }
-    if (maybeRan_ == 0) {
-        refuse(code, context, RETRY_AFTER_MS);
+    attempt_.hasBody = true;
+    if (plan_.pauseMs < plan_.firstAnswerMs)
+        armProgressTimer(); // it is due earlier than before
+}
+
+/// An armed timer is not moved with each part of an answer but looks again when it is due.
+void ForwardRequest::armProgressTimer()
+{
+    if (plan_.firstAnswerMs == 0)
+        return;
+    env_.loop.cancel(progressTimer_);
+    const loop::TimeMs dueInMs = lastProgressAt_ + allowanceMs() - env_.loop.now();
+    progressTimer_ = env_.loop.after(std::max<loop::TimeMs>(dueInMs, 1), [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onProgressDue();
+    });
+}
+
+void ForwardRequest::onProgressDue()
+{
+    progressTimer_ = 0;
+    if (isEnded_ || !attempt_.call)
+        return;
+    if (isCallerSlow_)
+        lastProgressAt_ = env_.loop.now();
+    if (env_.loop.now() - lastProgressAt_ < allowanceMs())
+        armProgressTimer();
+    else
+        onNoProgress();
+}
+
+/// A server that may still answer is left alone when the request could not be sent to another one.
+void ForwardRequest::onNoProgress()
+{
+    if (!attempt_.call->isConnected()) {
+        onUnreachable("no connection in time");
         return;
     }
-    const bool isTimeout = code == ResultCode::UpstreamTimeout;
-    refuse(isTimeout ? code : ResultCode::UpstreamFailed, context, 0);
+    const bool hasAnotherRun = plan_.mayRepeat && maybeRan_ + 1 < plan_.attempts;
+    if (hasAnotherRun || plan_.isSilenceFinal)
+        onBroken(FailureKind::Silence, "no progress");
 }
 
-void ForwardRequest::refuse(ResultCode code, const std::string& context, loop::TimeMs retryAfterMs)
+void ForwardRequest::onTimeUp()
 {
-    explain("refused",
-        { { "code", static_cast<int>(code) }, { "name", errors::info(code).name }, { "context", context },
-            { "maybeRan", maybeRan_ }, { "rejections", rejections_ }, { "unreachable", unreachable_ } });
-    env_.dialect.refuse(*exchange_, code, context, retryAfterMs);
-    finish(code);
+    limitTimer_ = 0;
+    if (isEnded_)
+        return;
+    if (attempt_.call) {
+        hooks_.explain("time-up",
+            { { "server", attempt_.placement.serverId }, { "sinceSendMs", env_.loop.now() - attempt_.sentAt } });
+        if (attempt_.call->isConnected())
+            ++maybeRan_;
+    }
+    giveUp(maybeRan_ > 0 ? ResultCode::UpstreamTimeout : ResultCode::DeadlineUnreachable, "time is up");
 }
 
-void ForwardRequest::closeAttempt()
+// ---- private: the end ----
+
+/// Ends a request that got no answer.
+void ForwardRequest::giveUp(ResultCode code, const std::string& context)
+{
+    closeAttempt();
+    const bool isServersFault = code == ResultCode::UpstreamFailed || code == ResultCode::UpstreamTimeout;
+    if (isStreaming_ && isServersFault)
+        code = ResultCode::AnswerIncomplete;
+    const ResultCode told = hooks_.refuse({ code, context, maybeRan_, isStreaming_ });
+    if (isStreaming_)
+        hooks_.explain("cut", { { "lastEvent", position_.value_or(0) }, { "reason", context } });
+    else
+        hooks_.explain("refused",
+            { { "code", static_cast<int>(told) }, { "name", errors::info(told).name }, { "context", context },
+                { "maybeRan", maybeRan_ }, { "rejections", rejections_ }, { "unreachable", unreachable_ } });
+    finish(told);
+}
+
+void ForwardRequest::stopCall()
 {
     env_.loop.cancel(progressTimer_);
     progressTimer_ = 0;
+    attempt_.serial = 0;
     const auto call = std::move(attempt_.call);
     attempt_.call.reset();
-    if (attempt_.server != NO_NODE)
-        env_.servers.close(attempt_.server);
-    attempt_.server = NO_NODE;
-    attempt_.serial = 0;
     if (call)
         call->cancel();
 }
 
+void ForwardRequest::closeAttempt()
+{
+    stopCall();
+    if (attempt_.isPlaced)
+        hooks_.release(attempt_.placement);
+    attempt_.isPlaced = false;
+}
+
 void ForwardRequest::finish(ResultCode code)
 {
     if (isEnded_)
         return;
     isEnded_ = true;
     const auto self = shared_from_this();
-    const std::string server = serverId();
+    if (isPlacing_ && hooks_.stopPlacing)
+        hooks_.stopPlacing();
+    if (code == ResultCode::Ok && plan_.endsWithMarker)
+        keepCallUntilEnd();
     closeAttempt();
     env_.loop.cancel(limitTimer_);
     exchange_->onCallerGone = nullptr;
     exchange_->onDrain = nullptr;
-    env_.metrics.onRequest(route_ ? route_->name : "none", static_cast<int>(code));
-    if (code == ResultCode::Ok)
-        explain("served", { { "server", server }, { "attempts", serial_ }, { "firstMs", firstAnswerMs_ } });
+    const Summary summary { plan_.kind, code, attempt_.placement.serverId, serial_, firstAnswerMs_, longestPauseMs_ };
+    report(summary);
+    hooks_.finished(summary);
     env_.open.erase(self);
 }
 
-void ForwardRequest::onCallerGone()
+void ForwardRequest::report(const Summary& summary) const
 {
-    explain("caller-gone", { { "server", serverId() }, { "attempts", serial_ } });
-    finish(ResultCode::CallerGone);
+    env_.metrics.onRequest(summary.kind, static_cast<int>(summary.code));
+    if (summary.firstAnswerMs > 0)
+        env_.metrics.onFirstAnswer(summary.kind, static_cast<double>(summary.firstAnswerMs));
+    if (plan_.isStream)
+        env_.metrics.onLongestPause(static_cast<double>(summary.longestPauseMs));
+    if (env_.onFinished)
+        env_.onFinished(summary);
 }
 
-loop::TimeMs ForwardRequest::remainingMs() const { return limitAt_ - env_.loop.now(); }
+/// Lets the connection read the rest of the answer's framing, so that it can be used again.
+void ForwardRequest::keepCallUntilEnd()
+{
+    const auto call = std::move(attempt_.call);
+    attempt_.call.reset();
+    if (call)
+        env_.loop.after(FRAMING_MS, [call] {});
+}
 
-void ForwardRequest::explain(const std::string& event, nlohmann::json fields) const
+void ForwardRequest::onCallerGone()
 {
-    fields["request"] = inbound_.requestId;
-    fields["route"] = route_ ? route_->name : "";
-    fields["service"] = service_;
-    fields["config"] = routes_ ? routes_->version() : 0;
-    fields["ms"] = env_.loop.now() - exchange_->arrivedAt();
-    env_.log.decision(event, std::move(fields));
+    hooks_.explain("caller-gone", { { "server", attempt_.placement.serverId }, { "attempts", serial_ } });
+    finish(ResultCode::CallerGone);
 }
 
-std::string ForwardRequest::serverId() const
+void ForwardRequest::onDrain()
 {
-    const auto* server = env_.servers.find(attempt_.server);
-    return server ? server->entry.id : "";
+    isCallerSlow_ = false;
+    lastProgressAt_ = env_.loop.now();
+    if (attempt_.call)
+        attempt_.call->setReading(true);
 }
 
 } // namespace goldcrestcleat::forwarding
--- a/src/goldcrestcleat/forwarding/ForwardRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardRequest.h
@@ -1,83 +1,69 @@
 #pragma once
 
-#include "goldcrestcleat/admission/Quarantine.h"
-#include "goldcrestcleat/admission/SharedRetryBudget.h"
-#include "goldcrestcleat/forwarding/Dialect.h"
-#include "goldcrestcleat/forwarding/EventReader.h"
-#include "goldcrestcleat/observe/Log.h"
+#include "goldcrestcleat/forwarding/RequestHooks.h"
+#include "goldcrestcleat/http/Server.h"
 #include "goldcrestcleat/observe/Metrics.h"
-#include "goldcrestcleat/routes/RouteBook.h"
-#include "goldcrestcleat/routing/ChatMemory.h"
-#include "goldcrestcleat/routing/WarmPlacement.h"
-#include "goldcrestcleat/settings/FrontSettings.h"
-#include "goldcrestcleat/upstreams/ServerBook.h"
-
-#include <memory>
-#include <random>
+
 #include <set>
 
 namespace goldcrestcleat::forwarding {
 
 class ForwardRequest;
 
-/// What requests use of the daemon; everything outlives the requests.
-struct ForwardEnvironment {
+/// What the life cycle uses of the daemon; outlives the requests.
+struct Environment {
     loop::EventLoop& loop;
-    const settings::FrontSettings& settings;
-    const observe::Log& log;
-    observe::Metrics& metrics;
     http::Client& client;
-    upstreams::ServerBook& servers;
-    admission::SharedRetryBudget& retryBudget;
+    observe::Metrics& metrics;
     admission::Quarantine& quarantine;
-    routing::ChatMemory& contexts; ///< engine that last read a subject's context, as far as this daemon saw it
-    const Dialect& dialect;
-    std::mt19937_64& random;
-    std::function<routes::RouteBook::Ptr()> routes; ///< newest configuration; null before the first
-    std::function<void(routing::NodeKey server)> reportUnreachable; ///< no connection could be opened
-    std::function<void(routing::NodeKey server, admission::Fingerprint, std::uint64_t crashId)> reportBroken;
-    std::function<void(admission::Fingerprint)> forgive; ///< after a whole answer
     std::set<std::shared_ptr<ForwardRequest>> open; ///< requests that are not finished
+    std::function<void(const Summary&)> onFinished; ///< may be unset
 };
 
-/// One caller's request from its arrival to the last byte of its answer.
+/// One caller's request from its admission to the last byte of its answer.
 ///
-/// It is placed on a server of its route's service and sent there. It is sent again, to another server, only when the
-/// server stated that it has not run, when no byte of it left this process, or when its route allows it to run twice.
+/// It is placed on a server and sent there. It is sent again only when the server stated that it has not run, when no
+/// byte of it left this process, or when it may run more than once. Its hooks say where it goes and how it looks on
+/// the wire.
 class ForwardRequest : public std::enable_shared_from_this<ForwardRequest> {
 public:
-    ForwardRequest(ForwardEnvironment& env, http::Exchange::Ptr exchange);
+    using Ptr = std::shared_ptr<ForwardRequest>;
+
+    ForwardRequest(Environment& env, http::Exchange::Ptr exchange, Plan plan, RequestHooks hooks);
 
     void start();
 
+    /// Returns the server that runs the current attempt, or NO_NODE.
+    routing::NodeKey server() const { return attempt_.call ? attempt_.placement.server : routing::NO_NODE; }
+
+    /// A stream whose server is running it can go on elsewhere.
+    bool isMovable() const;
+
+    loop::TimeMs arrivedAt() const { return exchange_->arrivedAt(); }
+
+    /// Goes on at a less loaded server, if there is one that takes the request at once.
+    void moveAway();
+
 private:
     /// One send to one server.
     struct Attempt {
-        int serial = 0;
-        routing::NodeKey server = routing::NO_NODE;
+        int serial = 0; ///< 0 when no answer is awaited
+        Placement placement;
+        bool isPlaced = false; ///< the placement is to be released
         http::Call::Ptr call;
         AnswerHead head;
-        bool hasHead = false;
+        bool hasBody = false;
         EventReader events;
-        std::string body; // of an answer that is not a stream
+        std::string body; ///< of an answer that is not a stream
         loop::TimeMs sentAt = 0;
     };
 
-    // Admission.
-    bool admit();
-
-    // Placement.
+    // Placement and sending.
     void place();
-    std::vector<routing::Candidate> candidates() const;
-    routing::WarmChoice choose(const std::vector<routing::Candidate>& candidates) const;
-    std::optional<std::uint64_t> subject() const;
-    std::string fetchAddress(const routing::WarmChoice& choice) const;
-
-    // Sending.
-    void send(const routing::WarmChoice& choice);
-    Addition additionFor(const upstreams::Server& server, const routing::WarmChoice& choice) const;
+    void onPlaced(const PlacementResult& result);
+    void send(const Placement& placement, http::Client::Reuse reuse);
     http::Call::Hooks hooksFor(int serial);
-    http::Client::Reuse reuse() const;
+    Progress progress() const { return { tried_, remainingMs(), position_ }; }
 
     // The answer.
     void onHead(const Poco::Net::HTTPResponse& head);
@@ -91,45 +77,50 @@
     void finishPlain();
 
     // What follows a failed attempt.
+    void onUnreachable(const std::string& reason);
     void onRejected();
-    void onBroken(const std::string& reason);
-    bool mayRunAgain() const;
-    void retry(const std::string& reason);
+    void onBroken(FailureKind kind, const std::string& reason);
+    void onJudged(FailureKind kind, const std::string& reason, NextServer next);
+    bool mayRunAgain() const { return plan_.mayRepeat && maybeRan_ < plan_.attempts; }
+    void retry(const std::string& reason, NextServer next);
     void giveUp(errors::ResultCode code, const std::string& context);
 
     // Time.
+    void noteProgress();
     void armProgressTimer();
+    void onProgressDue();
     void onNoProgress();
     void onTimeUp();
     loop::TimeMs remainingMs() const;
-    loop::TimeMs progressAllowanceMs() const;
+    loop::TimeMs allowanceMs() const { return attempt_.hasBody ? plan_.pauseMs : plan_.firstAnswerMs; }
 
     // The end.
+    void stopCall();
     void closeAttempt();
-    void refuse(errors::ResultCode code, const std::string& context, loop::TimeMs retryAfterMs);
     void finish(errors::ResultCode code);
+    void report(const Summary& summary) const;
+    void keepCallUntilEnd();
     void onCallerGone();
-    void explain(const std::string& event, nlohmann::json fields) const;
-    std::string serverId() const;
+    void onDrain();
 
-    ForwardEnvironment& env_;
+    Environment& env_;
     http::Exchange::Ptr exchange_;
-    Inbound inbound_;
-    routes::RouteBook::Ptr routes_; // keeps the route alive
-    const routes::Route* route_ = nullptr;
-    const routes::KeyHolder* workspace_ = nullptr;
-    std::string service_;
-    admission::Fingerprint fingerprint_ = 0;
-    loop::TimeMs limitAt_ = 0; // the caller's deadline or the route's time-out, whichever is earlier
+    const Plan plan_;
+    const RequestHooks hooks_;
     Attempt attempt_;
     std::vector<routing::NodeKey> tried_;
     int serial_ = 0;
     int maybeRan_ = 0; // sends after which the request may have run
     int rejections_ = 0;
     int unreachable_ = 0;
+    bool isPlacing_ = false;
+    bool isMoving_ = false;
     bool isStreaming_ = false; // the caller has the head of a stream
+    bool isComplete_ = false; // the event that ends the stream was read
+    bool isCallerSlow_ = false; // reading waits until the caller has taken what is written
     bool isEnded_ = false;
-    std::optional<std::uint64_t> lastForwardedId_;
+    std::optional<std::uint64_t> position_; // of the last event that the caller was sent
+    loop::TimeMs longestPauseMs_ = 0; // between two reads of the answer
     loop::TimeMs firstAnswerMs_ = 0; // from the arrival to the first head of an answer
     std::string output_; // events that are not written yet
     loop::EventLoop::TimerId limitTimer_ = 0;
--- a/src/goldcrestcleat/gateway/CallerGateway.cpp
+++ b/src/goldcrestcleat/gateway/CallerGateway.cpp
@@ -1,7 +1,7 @@
 #include "goldcrestcleat/gateway/CallerGateway.h"
 
 #include "goldcrestcleat/observe/Digest.h"
-#include "goldcrestcleat/requests/ServiceRequest.h"
+#include "goldcrestcleat/requests/ServiceExchange.h"
 
 #include <algorithm>
 
@@ -52,10 +52,8 @@
 
 } // namespace
 
-CallerGateway::CallerGateway(
-    requests::Environment& env, requests::ChatRequests& chats, const profiles::ProfileBook& profiles)
+CallerGateway::CallerGateway(requests::Environment& env, const profiles::ProfileBook& profiles)
     : env_(env)
-    , chats_(chats)
     , profiles_(profiles)
 {
 }
@@ -149,7 +147,7 @@
     if (!env_.fleet.isReady())
         throw RequestError(ResultCode::NotReady, "");
     countOpen(*call.workspace, call.profile);
-    std::make_shared<requests::ChatRequest>(env_, chats_, exchange, std::move(call))->start();
+    requests::ChatCompletion::start(env_, exchange, std::move(call));
 }
 
 requests::ChatCall CallerGateway::readChat(const http::Exchange& exchange, const std::string& requestId) const
@@ -201,7 +199,7 @@
     if (!env_.fleet.isReady())
         throw RequestError(ResultCode::NotReady, "");
     countOpen(*call.workspace, call.profile);
-    std::make_shared<requests::ServiceRequest>(env_, exchange, std::move(call))->start();
+    requests::ServiceExchange::start(env_, exchange, std::move(call));
 }
 
 const settings::Workspace& CallerGateway::authenticate(const http::Exchange& exchange) const
--- a/src/goldcrestcleat/gateway/CallerGateway.h
+++ b/src/goldcrestcleat/gateway/CallerGateway.h
@@ -2,7 +2,8 @@
 
 #include "goldcrestcleat/http/Server.h"
 #include "goldcrestcleat/profiles/ProfileBook.h"
-#include "goldcrestcleat/requests/ChatRequest.h"
+#include "goldcrestcleat/requests/Answers.h"
+#include "goldcrestcleat/requests/ChatCompletion.h"
 #include "goldcrestcleat/requests/Environment.h"
 
 /// HTTP interfaces of a daemon: for callers, operators and metrics.
@@ -12,7 +13,7 @@
 class CallerGateway {
 public:
     /// All references must outlive the gateway.
-    CallerGateway(requests::Environment& env, requests::ChatRequests& chats, const profiles::ProfileBook& profiles);
+    CallerGateway(requests::Environment& env, const profiles::ProfileBook& profiles);
 
     /// Opens the listener. Throws Error with AddressInUse.
     void start();
@@ -38,7 +39,6 @@
         const http::Exchange::Ptr& exchange, const requests::Refusal& refusal, const std::string& requestId);
 
     requests::Environment& env_;
-    requests::ChatRequests& chats_;
     const profiles::ProfileBook& profiles_;
     std::unique_ptr<http::Server> server_;
 };
--- a/src/goldcrestcleat/gateway/FrontGateway.cpp
+++ b/src/goldcrestcleat/gateway/FrontGateway.cpp
@@ -6,7 +6,7 @@
 
 using errors::ResultCode;
 
-FrontGateway::FrontGateway(forwarding::ForwardEnvironment& env, const EntryDialect& entry, Hooks hooks)
+FrontGateway::FrontGateway(forwarding::RoutedEnvironment& env, const EntryDialect& entry, Hooks hooks)
     : env_(env)
     , entryDialect_(entry)
     , hooks_(std::move(hooks))
@@ -55,13 +55,10 @@
         env_.dialect.refuse(*exchange, code, context, 0);
     };
     return std::make_unique<http::Server>(
-        env_.loop, address, http::Limits(), http::ServerTimeouts(), std::move(handler), onFault);
+        env_.requests.loop, address, http::Limits(), http::ServerTimeouts(), std::move(handler), onFault);
 }
 
-void FrontGateway::onCall(const http::Exchange::Ptr& exchange)
-{
-    std::make_shared<forwarding::ForwardRequest>(env_, exchange)->start();
-}
+void FrontGateway::onCall(const http::Exchange::Ptr& exchange) { forwarding::RoutedCall::start(env_, exchange); }
 
 void FrontGateway::onReadiness(const http::Exchange::Ptr& exchange)
 {
--- a/src/goldcrestcleat/gateway/FrontGateway.h
+++ b/src/goldcrestcleat/gateway/FrontGateway.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "goldcrestcleat/forwarding/ForwardRequest.h"
+#include "goldcrestcleat/forwarding/RoutedCall.h"
 #include "goldcrestcleat/http/Server.h"
 
 #include <functional>
@@ -25,7 +25,7 @@
         std::function<std::vector<std::string>()> entryAddresses; ///< of daemons that take requests
     };
 
-    FrontGateway(forwarding::ForwardEnvironment& env, const EntryDialect& entry, Hooks hooks);
+    FrontGateway(forwarding::RoutedEnvironment& env, const EntryDialect& entry, Hooks hooks);
 
     /// Opens all listeners. Throws Error with AddressInUse.
     void start();
@@ -48,7 +48,7 @@
     void onEntry(const http::Exchange::Ptr& exchange);
     std::unique_ptr<http::Server> listen(const std::string& address, http::Server::Handler handler);
 
-    forwarding::ForwardEnvironment& env_;
+    forwarding::RoutedEnvironment& env_;
     const EntryDialect& entryDialect_;
     Hooks hooks_;
     routes::CallerLimits limits_;
--- a/src/goldcrestcleat/loop/EventLoop.cpp
+++ b/src/goldcrestcleat/loop/EventLoop.cpp
@@ -96,6 +96,8 @@
         const TimeMs tookMs = steadyNow() - now_;
         if (tookMs > SLOW_TURN_MS && onSlowTurn)
             onSlowTurn(tookMs);
+        if (onTurnEnd)
+            onTurnEnd(lateMs_, tookMs);
     }
 }
 
@@ -110,6 +112,7 @@
 {
     const auto ready = pollSet_.poll(Poco::Timespan(timeoutMs * 1000));
     const TimeMs lateMs = steadyNow() - now_ - timeoutMs;
+    lateMs_ = std::max<TimeMs>(lateMs, 0);
     refreshNow();
     // Told before any handler runs, since what the sockets hold may be as old as the pause was long.
     if (lateMs > LATE_TURN_MS && onLateTurn)
--- a/src/goldcrestcleat/loop/EventLoop.h
+++ b/src/goldcrestcleat/loop/EventLoop.h
@@ -59,6 +59,9 @@
     /// Called after a turn whose handlers and timers took over `SLOW_TURN_MS`, with the time that they took.
     std::function<void(TimeMs tookMs)> onSlowTurn;
 
+    /// Called after each turn with how late it began and how long its handlers and timers took.
+    std::function<void(TimeMs lateMs, TimeMs tookMs)> onTurnEnd;
+
     /// Called once a turn; signal flags are read here.
     std::function<void()> onTurn;
 
@@ -83,6 +86,7 @@
     std::unordered_map<TimerId, TimeMs> timerDue_;
     TimerId nextTimerId_ = 1;
     TimeMs now_ = 0;
+    TimeMs lateMs_ = 0; // of the current turn
     volatile int running_ = 1;
 };
 
--- a/src/goldcrestcleat/observe/Log.cpp
+++ b/src/goldcrestcleat/observe/Log.cpp
@@ -9,6 +9,8 @@
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <atomic>
+
 #include <poll.h>
 #include <unistd.h>
 
@@ -55,6 +57,8 @@
         return log4cplus::ERROR_LOG_LEVEL;
     }
 
+    std::atomic<std::uint64_t> allDropped { 0 };
+
     /// Writes lines to a descriptor and drops those that it does not take at once, so that no reader can block us.
     class DroppingAppender : public log4cplus::Appender {
     public:
@@ -77,6 +81,7 @@
             const bool isTaken = ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0
                 && ::write(descriptor_, line.data(), line.size()) == static_cast<ssize_t>(line.size());
             dropped_ = isTaken ? 0 : dropped_ + 1;
+            allDropped += isTaken ? 0 : 1;
         }
 
     private:
@@ -104,6 +109,8 @@
     root.setLogLevel(toLog4cplus(threshold_));
 }
 
+std::uint64_t Log::droppedLines() { return allDropped; }
+
 void Log::decision(const std::string& event, nlohmann::json fields) const
 {
     if (threshold_ > LogLevel::Info)
@@ -116,6 +123,7 @@
     }
     if (++share.lines > MAX_LINES_PER_EVENT) {
         ++share.omitted;
+        ++omittedLines_;
         return;
     }
     if (share.omitted > 0)
--- a/src/goldcrestcleat/observe/Log.h
+++ b/src/goldcrestcleat/observe/Log.h
@@ -47,6 +47,12 @@
         write(LogLevel::Error, event, std::move(fields));
     }
 
+    /// Lines that `decision` left out so far.
+    std::uint64_t omittedLines() const { return omittedLines_; }
+
+    /// Lines that the sink did not take so far.
+    static std::uint64_t droppedLines();
+
 private:
     struct Share {
         std::int64_t second = 0;
@@ -57,6 +63,7 @@
     std::string vm_;
     LogLevel threshold_;
     mutable std::map<std::string, Share> shares_;
+    mutable std::uint64_t omittedLines_ = 0;
 };
 
 } // namespace goldcrestcleat::observe
--- a/src/goldcrestcleat/observe/Metrics.cpp
+++ b/src/goldcrestcleat/observe/Metrics.cpp
@@ -1,12 +1,14 @@
 #include "goldcrestcleat/observe/Metrics.h"
 
+#include "goldcrestcleat/errors/ResultCode.h"
+
 #include <prometheus/text_serializer.h>
 
 namespace goldcrestcleat::observe {
 
 namespace {
 
-    // Upper bounds of the added-latency histogram, in seconds.
+    // Upper bounds of all histograms of times, in seconds.
     const prometheus::Histogram::BucketBoundaries LATENCY_BUCKETS
         = { 0.0005, 0.001, 0.002, 0.003, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60 };
 
@@ -15,6 +17,28 @@
         return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
     }
 
+    /// Raises a counter to a total that something else keeps.
+    void raiseTo(prometheus::Counter& counter, std::uint64_t total)
+    {
+        const double grown = static_cast<double>(total) - counter.Value();
+        if (grown > 0)
+            counter.Increment(grown);
+    }
+
+    prometheus::Family<prometheus::Histogram>& histogram(
+        prometheus::Registry& registry, const char* name, const char* help)
+    {
+        return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+    }
+
+    /// Says who decided how a request ended.
+    const char* decidedBy(int resultCode)
+    {
+        if (resultCode == static_cast<int>(errors::ResultCode::Ok))
+            return "server";
+        return resultCode == static_cast<int>(errors::ResultCode::CallerGone) ? "caller" : "daemon";
+    }
+
     prometheus::Gauge* gauge(prometheus::Registry& registry, const char* name, const char* help)
     {
         return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
@@ -30,20 +54,40 @@
     , retries_(counter(*registry_, "goldcrestcleat_retries_total", "Further attempts by reason"))
     , controlBytes_(
           counter(*registry_, "goldcrestcleat_control_bytes_total", "Control traffic by kind, both directions"))
+    , sharedTokens_(counter(*registry_, "goldcrestcleat_shared_tokens_total",
+          "Prompt tokens that requests share with others, by where their context was expected"))
+    , storeCalls_(counter(*registry_, "goldcrestcleat_store_calls_total", "Calls to the store by call and outcome"))
+    , logLinesLost_(counter(*registry_, "goldcrestcleat_log_lines_lost_total",
+          "Lines left out to bound the volume, or not taken by a reader"))
     , engineLoad_(prometheus::BuildGauge()
                       .Name("goldcrestcleat_engine_load")
                       .Help("Requests on an engine, as known here")
                       .Register(*registry_))
-    , addedLatency_(&prometheus::BuildHistogram()
-                         .Name("goldcrestcleat_added_latency_seconds")
-                         .Help("Time from arrival to the first byte sent upstream")
-                         .Register(*registry_)
+    , retriesLeft_(prometheus::BuildGauge()
+                       .Name("goldcrestcleat_retries_left")
+                       .Help("Retries that this daemon may still make to a service in the current window")
+                       .Register(*registry_))
+    , firstAnswer_(histogram(
+          *registry_, "goldcrestcleat_first_answer_seconds", "Time from arrival to the head of the answer, by kind"))
+    , longestPause_(&histogram(
+          *registry_, "goldcrestcleat_longest_pause_seconds", "Longest pause between two reads of one answer")
+                         .Add({}, LATENCY_BUCKETS))
+    , addedLatency_(&histogram(
+          *registry_, "goldcrestcleat_added_latency_seconds", "Time from arrival to the first byte sent upstream")
                          .Add({}, LATENCY_BUCKETS))
+    , turnLate_(&histogram(*registry_, "goldcrestcleat_loop_late_seconds", "How late turns of the loop began")
+                     .Add({}, LATENCY_BUCKETS))
+    , turnTook_(&histogram(*registry_, "goldcrestcleat_loop_turn_seconds", "How long the handlers of a turn took")
+                     .Add({}, LATENCY_BUCKETS))
     , tokens_(&counter(*registry_, "goldcrestcleat_streamed_parts_total", "Parts of streamed answers passed to callers")
                    .Add({}))
     , openRequests_(gauge(*registry_, "goldcrestcleat_open_requests", "Requests that are not finished"))
     , queueDepth_(gauge(*registry_, "goldcrestcleat_queue_depth", "Ticket requests queued at this daemon's desk"))
     , rememberedChats_(gauge(*registry_, "goldcrestcleat_remembered_chats", "Chats whose engine is remembered here"))
+    , configuration_(gauge(*registry_, "goldcrestcleat_configuration_version", "Version of the configuration in force"))
+    , peersUp_(gauge(*registry_, "goldcrestcleat_peers_up", "Peers whose link is up"))
+    , oldestReport_(gauge(
+          *registry_, "goldcrestcleat_oldest_peer_report_seconds", "Age of the oldest report of a peer that is up"))
 {
 }
 
@@ -51,7 +95,8 @@
 {
     prometheus::Counter*& cached = requestCounters_[{ kind, resultCode }];
     if (!cached)
-        cached = &requests_.Add({ { "kind", kind }, { "code", std::to_string(resultCode) } });
+        cached = &requests_.Add(
+            { { "kind", kind }, { "code", std::to_string(resultCode) }, { "by", decidedBy(resultCode) } });
     cached->Increment();
 }
 
@@ -60,19 +105,65 @@
     placements_.Add({ { "reason", reason }, { "warm", isWarm ? "yes" : "no" } }).Increment();
 }
 
+void Metrics::onFirstAnswer(const std::string& kind, double ms)
+{
+    firstAnswer_.Add({ { "kind", kind } }, LATENCY_BUCKETS).Observe(ms / MS_PER_SECOND);
+}
+
+void Metrics::onSharedTokens(const std::string& context, double tokens)
+{
+    sharedTokens_.Add({ { "context", context } }).Increment(tokens);
+}
+
+void Metrics::onStoreCall(const std::string& call, const std::string& outcome)
+{
+    storeCalls_.Add({ { "call", call }, { "outcome", outcome } }).Increment();
+}
+
+void Metrics::onTurn(double lateMs, double tookMs)
+{
+    turnLate_->Observe(lateMs / MS_PER_SECOND);
+    turnTook_->Observe(tookMs / MS_PER_SECOND);
+}
+
 void Metrics::onRetry(const std::string& reason) { retries_.Add({ { "reason", reason } }).Increment(); }
 
 void Metrics::setControlBytes(const std::string& kind, std::uint64_t total)
 {
-    auto& bytes = controlBytes_.Add({ { "kind", kind } });
-    const double grown = static_cast<double>(total) - bytes.Value();
-    if (grown > 0)
-        bytes.Increment(grown);
+    raiseTo(controlBytes_.Add({ { "kind", kind } }), total);
+}
+
+void Metrics::setEngineLoads(const std::map<std::string, int>& loads)
+{
+    for (auto it = engineLoads_.begin(); it != engineLoads_.end();) {
+        const bool isGone = loads.count(it->first) == 0;
+        if (isGone)
+            engineLoad_.Remove(it->second);
+        it = isGone ? engineLoads_.erase(it) : std::next(it);
+    }
+    for (const auto& [engine, load] : loads) {
+        prometheus::Gauge*& gauge = engineLoads_[engine];
+        if (!gauge)
+            gauge = &engineLoad_.Add({ { "engine", engine } });
+        gauge->Set(load);
+    }
+}
+
+void Metrics::setRetriesLeft(const std::string& service, double retries)
+{
+    retriesLeft_.Add({ { "service", service } }).Set(retries);
+}
+
+void Metrics::setPeers(int up, double oldestReportMs)
+{
+    peersUp_->Set(up);
+    oldestReport_->Set(oldestReportMs / MS_PER_SECOND);
 }
 
-void Metrics::setEngineLoad(const std::string& engine, int load)
+void Metrics::setLogLinesLost(std::uint64_t omitted, std::uint64_t dropped)
 {
-    engineLoad_.Add({ { "engine", engine } }).Set(load);
+    raiseTo(logLinesLost_.Add({ { "why", "omitted" } }), omitted);
+    raiseTo(logLinesLost_.Add({ { "why", "dropped" } }), dropped);
 }
 
 std::string Metrics::text() const { return prometheus::TextSerializer().Serialize(registry_->Collect()); }
--- a/src/goldcrestcleat/observe/Metrics.h
+++ b/src/goldcrestcleat/observe/Metrics.h
@@ -18,22 +18,50 @@
 public:
     Metrics();
 
-    /// Counts a finished request. `kind` is "chat", "service" or "entry".
+    /// Counts a finished request. `kind` is a kind of call, as in "chat" or "idempotent"; there are few of them.
     void onRequest(const std::string& kind, int resultCode);
 
+    /// Records how long a caller waited for the head of an answer, in ms.
+    void onFirstAnswer(const std::string& kind, double ms);
+
+    /// Records the longest pause between two reads of one answer, in ms.
+    void onLongestPause(double ms) { longestPause_->Observe(ms / MS_PER_SECOND); }
+
     /// Records the time from a request's arrival to its first byte sent upstream, in ms.
-    void onAddedLatency(double ms) { addedLatency_->Observe(ms / 1000.0); }
+    void onAddedLatency(double ms) { addedLatency_->Observe(ms / MS_PER_SECOND); }
 
     /// Counts a chat's placement by reason, and whether the engine was expected to hold its context.
     void onPlacement(const std::string& reason, bool isWarm);
 
+    /// Counts prompt tokens that requests share with others. `context` is "warm", "fetched" or "cold", as expected.
+    void onSharedTokens(const std::string& context, double tokens);
+
     void onRetry(const std::string& reason);
+
+    /// Counts a call to the store. `call` is "read", "watch" or "commit".
+    void onStoreCall(const std::string& call, const std::string& outcome);
+
+    /// Records a turn of the loop: how late it began and how long its handlers took, in ms.
+    void onTurn(double lateMs, double tookMs);
     void onStreamedToken() { tokens_->Increment(); }
 
     /// Sets a total of control bytes; `kind` is as in "peer", "probe" or "platform".
     void setControlBytes(const std::string& kind, std::uint64_t total);
 
-    void setEngineLoad(const std::string& engine, int load);
+    /// Sets the loads of all engines and servers; those that are not named any more are dropped.
+    void setEngineLoads(const std::map<std::string, int>& loads);
+
+    /// Sets how many retries a service has left now.
+    void setRetriesLeft(const std::string& service, double retries);
+
+    void setConfigurationVersion(std::uint64_t version) { configuration_->Set(static_cast<double>(version)); }
+
+    /// Sets the number of peers that are up, and for how long the one that is up was last silent, in ms.
+    void setPeers(int up, double oldestReportMs);
+
+    /// Sets totals of log lines that were not written: left out to bound the volume, or not taken by the reader.
+    void setLogLinesLost(std::uint64_t omitted, std::uint64_t dropped);
+
     void setOpenRequests(int count) { openRequests_->Set(count); }
     void setQueueDepth(std::size_t count) { queueDepth_->Set(static_cast<double>(count)); }
     void setRememberedChats(std::size_t count) { rememberedChats_->Set(static_cast<double>(count)); }
@@ -42,17 +70,34 @@
     std::string text() const;
 
 private:
+    static constexpr double MS_PER_SECOND = 1'000;
+
+    using CounterFamily = prometheus::Family<prometheus::Counter>;
+    using HistogramFamily = prometheus::Family<prometheus::Histogram>;
+
     std::shared_ptr<prometheus::Registry> registry_;
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Counter>& placements_;
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& controlBytes_;
+    CounterFamily& sharedTokens_;
+    CounterFamily& storeCalls_;
+    CounterFamily& logLinesLost_;
     prometheus::Family<prometheus::Gauge>& engineLoad_;
+    prometheus::Family<prometheus::Gauge>& retriesLeft_;
+    HistogramFamily& firstAnswer_;
+    prometheus::Histogram* longestPause_;
     prometheus::Histogram* addedLatency_;
+    prometheus::Histogram* turnLate_;
+    prometheus::Histogram* turnTook_;
     prometheus::Counter* tokens_;
     prometheus::Gauge* openRequests_;
     prometheus::Gauge* queueDepth_;
     prometheus::Gauge* rememberedChats_;
+    prometheus::Gauge* configuration_;
+    prometheus::Gauge* peersUp_;
+    prometheus::Gauge* oldestReport_;
+    std::map<std::string, prometheus::Gauge*> engineLoads_;
     std::map<std::pair<std::string, int>, prometheus::Counter*> requestCounters_;
 };
 
--- /dev/null
+++ b/src/goldcrestcleat/requests/ChatCall.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "goldcrestcleat/admission/Quarantine.h"
+#include "goldcrestcleat/profiles/Profile.h"
+#include "goldcrestcleat/routing/Keys.h"
+#include "goldcrestcleat/settings/Settings.h"
+
+#include <string>
+
+namespace goldcrestcleat::requests {
+
+/// A checked request for a chat completion.
+struct ChatCall {
+    std::string requestId;
+    const settings::Workspace* workspace = nullptr;
+    profiles::Profile profile;
+    std::string model;
+    std::string chatId; ///< may be empty
+    routing::ChatKey chat = 0;
+    bool isReturning = false;
+    bool isStream = false;
+    std::string hint;
+    nlohmann::json body;
+    admission::Fingerprint fingerprint = 0;
+};
+
+} // namespace goldcrestcleat::requests
--- /dev/null
+++ b/src/goldcrestcleat/requests/ChatCompletion.cpp
@@ -0,0 +1,293 @@
+#include "goldcrestcleat/requests/ChatCompletion.h"
+
+#include "goldcrestcleat/observe/Digest.h"
+#include "goldcrestcleat/requests/Answers.h"
+#include "goldcrestcleat/store/TableClient.h"
+
+#include <Poco/Net/HTTPResponse.h>
+#include <xxhash.h>
+
+namespace goldcrestcleat::requests {
+
+using errors::Executed;
+using errors::ResultCode;
+using forwarding::EventReading;
+using forwarding::FailureKind;
+using forwarding::NextServer;
+using nlohmann::json;
+using routing::NodeKey;
+using upstreams::Outcome;
+
+namespace {
+
+    constexpr std::size_t ATTEMPT_ID_BYTES = 12;
+    constexpr loop::TimeMs PLAIN_ANSWER_MS = 120'000; // a plain answer shows no progress until it is whole
+    constexpr loop::TimeMs CANCEL_TIMEOUT_MS = 1'000;
+    constexpr const char* ID_FIELD = "X-Request-Id";
+
+    std::uint64_t crashIdOf(NodeKey engine, const std::string& run)
+    {
+        return XXH3_64bits_withSeed(run.data(), run.size(), engine);
+    }
+
+} // namespace
+
+ChatCompletion::ChatCompletion(Environment& env, http::Exchange::Ptr exchange, ChatCall call)
+    : env_(env)
+    , exchange_(std::move(exchange))
+    , call_(std::move(call))
+    , placement_(std::make_shared<ChatPlacement>(env, call_))
+{
+}
+
+void ChatCompletion::start(Environment& env, const http::Exchange::Ptr& exchange, ChatCall call)
+{
+    env.explanations.begin(call.requestId, call.workspace->id, call.chatId, env.loop.now());
+    env.retryBudget.onRequest();
+    const auto chat = std::make_shared<ChatCompletion>(env, exchange, std::move(call));
+    std::make_shared<forwarding::ForwardRequest>(env.forwarding, exchange, chat->plan(), chat->hooks())->start();
+}
+
+// ---- private ----
+
+forwarding::Plan ChatCompletion::plan() const
+{
+    forwarding::Plan plan;
+    plan.requestId = call_.requestId;
+    plan.kind = "chat";
+    plan.isStream = call_.isStream;
+    plan.endsWithMarker = call_.isStream;
+    plan.mayRepeat = true;
+    plan.attempts = 1 + call_.profile.retries;
+    plan.limitMs = call_.profile.deadlineMs;
+    plan.isLimitFinal = false; // the deadline is for the start of the work; what has begun goes on
+    plan.firstAnswerMs = call_.isStream ? call_.profile.firstTokenMs : PLAIN_ANSWER_MS;
+    plan.pauseMs = call_.isStream ? call_.profile.stallMs : PLAIN_ANSWER_MS;
+    plan.isSilenceFinal = true;
+    plan.fingerprint = call_.fingerprint;
+    return plan;
+}
+
+forwarding::RequestHooks ChatCompletion::hooks()
+{
+    forwarding::RequestHooks hooks;
+    hooks.owner = shared_from_this();
+    hooks.place = [this](const forwarding::Progress& progress, const ChatPlacement::PlacedHook& onPlaced) {
+        placement_->place(progress, onPlaced);
+    };
+    hooks.stopPlacing = [this] { placement_->stop(); };
+    hooks.findBetter = [this](const forwarding::Placement& from, const ChatPlacement::PlacedHook& onPlaced) {
+        placement_->findBetter(from, onPlaced);
+    };
+    hooks.release = [this](const forwarding::Placement& placement) { placement_->release(placement); };
+    hooks.record = [this](const forwarding::Placement& placement, Outcome outcome) { record(placement, outcome); };
+    hooks.judge = [this](const forwarding::Failure& failure, const JudgedHook& onJudged) { judge(failure, onJudged); };
+    hooks.tryRetry = [this] { return env_.retryBudget.tryTake(); };
+    hooks.encode = [this](const forwarding::Placement& placement, const forwarding::Progress& progress) {
+        return encode(placement, progress);
+    };
+    hooks.isOwn = [](const Poco::Net::HTTPResponse&) { return true; };
+    hooks.readHead = [this](const Poco::Net::HTTPResponse& response) { return readHead(response); };
+    hooks.readEvent = [this](const forwarding::StreamEvent& event, std::optional<std::uint64_t> position) {
+        return readEvent(event, position);
+    };
+    hooks.answered = [this](const forwarding::Placement& placement, const forwarding::AnswerHead&, const std::string&) {
+        if (!call_.chatId.empty())
+            env_.fleet.remember(call_.model, call_.chat, placement.server);
+    };
+    hooks.refuse = [this](const forwarding::Ending& ending) { return refuse(ending); };
+    hooks.finished = [this](const forwarding::Summary& summary) { onFinished(summary); };
+    hooks.explain = [this](const std::string& step, json details) { explain(step, std::move(details)); };
+    return hooks;
+}
+
+// ---- private: wire ----
+
+http::Request ChatCompletion::encode(const forwarding::Placement& placement, const forwarding::Progress& progress)
+{
+    attemptId_ = observe::randomHex(ATTEMPT_ID_BYTES);
+    if (firstAttemptId_.empty())
+        firstAttemptId_ = attemptId_;
+    engine_ = placement.server;
+    engineId_ = placement.serverId;
+    run_.clear();
+    resumedAt_ = progress.position.value_or(0);
+    sawFinish_ = false;
+    http::Request request;
+    request.method = "POST";
+    request.target = "/v1/chat/completions";
+    request.fields = { { "Content-Type", "application/json" }, { ID_FIELD, attemptId_ },
+        { "X-Priority", std::to_string(call_.profile.priority) } };
+    if (resumedAt_ == 0) {
+        request.body = call_.body.dump();
+        return request;
+    }
+    json body = call_.body;
+    body["resume_position"] = resumedAt_;
+    request.body = body.dump();
+    return request;
+}
+
+forwarding::AnswerHead ChatCompletion::readHead(const Poco::Net::HTTPResponse& response)
+{
+    forwarding::AnswerHead head;
+    head.status = response.getStatus();
+    head.isForeign = response.get(ID_FIELD, "") != attemptId_;
+    if (head.isForeign) {
+        env_.log.warn("crossed-answer", { { "request", call_.requestId }, { "engine", engineId_ } });
+        return head;
+    }
+    head.isGenuine = true;
+    head.hasNotRun = head.status == 503 || head.status == 429;
+    run_ = response.get("X-Run-Id", "");
+    if (!run_.empty())
+        env_.directory.onContact(engine_, run_);
+    head.goesOnElsewhere
+        = resumedAt_ > 0 && response.get("X-Resume-Position", "") != std::to_string(resumedAt_) && !head.hasNotRun;
+    head.fields = callerFields();
+    if (call_.isStream && head.status == 200) {
+        head.fields.emplace_back("Content-Type", "text/event-stream");
+        head.fields.emplace_back("Cache-Control", "no-store");
+    } else {
+        head.fields.emplace_back("Content-Type", response.getContentType());
+    }
+    return head;
+}
+
+http::Fields ChatCompletion::callerFields() const
+{
+    return { { ID_FIELD, call_.requestId }, { "X-Hint", env_.hints.seal(call_.chat, engine_) },
+        { "X-Served-By", engineId_ } };
+}
+
+EventReading ChatCompletion::readEvent(const forwarding::StreamEvent& event, std::optional<std::uint64_t> position)
+{
+    const auto data = forwarding::dataOf(event.bytes);
+    if (data.empty())
+        return { EventReading::Kind::Skip, {}, position, false };
+    const CompletionEvent completion = classifyEvent(data);
+    if (completion.isDone)
+        return sawFinish_ ? EventReading { EventReading::Kind::Complete, event.bytes, position, false }
+                          : EventReading();
+    if (completion.isError || data.find(attemptId_) == std::string_view::npos) {
+        explain(completion.isError ? "error-event" : "crossed-event", json::object());
+        return {};
+    }
+    sawFinish_ = sawFinish_ || completion.isFinish;
+    const bool wasForwardedBefore = resumedAt_ > 0 && !completion.hasContent && !completion.isFinish;
+    if (wasForwardedBefore)
+        return { EventReading::Kind::Skip, {}, position, false };
+    const std::uint64_t after = position.value_or(0) + (completion.hasContent ? 1 : 0);
+    return { EventReading::Kind::Forward, rewritten(data), after, completion.hasContent };
+}
+
+/// Returns an event as callers see it, with the id of the first attempt.
+std::string_view ChatCompletion::rewritten(std::string_view data)
+{
+    event_.assign("data: ").append(data);
+    if (attemptId_ != firstAttemptId_)
+        event_.replace(event_.find(attemptId_), attemptId_.size(), firstAttemptId_);
+    event_.append("\n\n");
+    return event_;
+}
+
+// ---- private: what became of an attempt ----
+
+void ChatCompletion::record(const forwarding::Placement& placement, Outcome outcome)
+{
+    if (outcome == Outcome::Unreachable)
+        env_.directory.onContactFailed(placement.server, env_.loop.now());
+}
+
+void ChatCompletion::judge(const forwarding::Failure& failure, const JudgedHook& onJudged)
+{
+    if (failure.kind == FailureKind::Unreadable) {
+        onJudged(NextServer::Another);
+        return;
+    }
+    if (failure.kind == FailureKind::Silence) {
+        env_.client.dropIdle(failure.placement.address); // the path may have gone silent
+        cancelAtEngine(failure.placement.address);
+    }
+    askEngine(failure, onJudged);
+}
+
+/// Asks the engine over a new connection whether it still runs, before anything is sent again.
+void ChatCompletion::askEngine(const forwarding::Failure& failure, const JudgedHook& onJudged)
+{
+    const NodeKey engine = failure.placement.server;
+    const auto* upstream = env_.directory.find(engine);
+    // After a stall only the run that began this answer can be compared: an engine that was started anew some time
+    // ago has not crashed under this request.
+    const bool isStall = failure.kind == FailureKind::Silence;
+    const std::string run = isStall || !run_.empty() || !upstream ? run_ : upstream->run;
+    const bool wasSuspect = failure.placement.isSuspect;
+    const bool goesElsewhere = isStall && !failure.hasBegun;
+    const auto self = shared_from_this();
+    env_.prober.probeNow(
+        engine, [self, engine, run, wasSuspect, goesElsewhere, onJudged](const upstreams::ProbeAnswer& answer) {
+            const bool isNewRun = !run.empty() && !answer.run.empty() && answer.run != run;
+            const bool hasEnded = !answer.isAlive || isNewRun;
+            if (!answer.isAlive)
+                self->env_.directory.onContactFailed(engine, self->env_.loop.now());
+            if (hasEnded) {
+                self->explain("engine-crashed", { { "engine", self->engineId_ } });
+                self->env_.fleet.suspect({ { self->call_.fingerprint, crashIdOf(engine, run), wasSuspect } });
+            }
+            onJudged(hasEnded || goesElsewhere ? NextServer::Another : NextServer::Same);
+        });
+}
+
+void ChatCompletion::cancelAtEngine(const std::string& address)
+{
+    http::Request request;
+    request.method = "POST";
+    request.target = "/v1/cancel";
+    request.fields = { { "Content-Type", "application/json" } };
+    request.body = json { { "id", attemptId_ } }.dump();
+    store::callOnce(env_.loop, env_.client, address, request, CANCEL_TIMEOUT_MS, http::Client::Reuse::Fresh,
+        [](http::FailurePoint, int, const std::string&) {});
+}
+
+// ---- private: the end ----
+
+ResultCode ChatCompletion::refuse(const forwarding::Ending& ending)
+{
+    Refusal refusal;
+    refusal.code = ending.code;
+    refusal.context = ending.context;
+    refusal.executed = ending.maybeRan > 0 ? Executed::Unknown : Executed::No;
+    refusal.retryAfterSeconds = errors::info(ending.code).httpStatus == 503 ? 1 : 0;
+    requests::refuse(*exchange_, refusal, call_.requestId);
+    return ending.code;
+}
+
+void ChatCompletion::onFinished(const forwarding::Summary& summary)
+{
+    const int code = static_cast<int>(summary.code);
+    explain("finished", { { "code", code } });
+    env_.openCounts.close("workspace/" + call_.workspace->id);
+    env_.openCounts.close("profile/" + call_.workspace->id + "/" + call_.profile.name);
+    env_.log.info("chat-finished",
+        { { "request", call_.requestId }, { "workspace", call_.workspace->id }, { "code", code },
+            { "attempts", summary.attempts }, { "ms", env_.loop.now() - exchange_->arrivedAt() } });
+}
+
+void ChatCompletion::explain(const std::string& step, json details) const
+{
+    env_.explanations.add(call_.requestId, env_.loop.now(), step, std::move(details));
+}
+
+void moveOneFrom(const forwarding::Environment& env, NodeKey engine)
+{
+    forwarding::ForwardRequest::Ptr youngest;
+    for (const auto& request : env.open) {
+        const bool fits = request->server() == engine && request->isMovable();
+        if (fits && (!youngest || request->arrivedAt() > youngest->arrivedAt()))
+            youngest = request;
+    }
+    if (youngest)
+        youngest->moveAway();
+}
+
+} // namespace goldcrestcleat::requests
--- a/src/goldcrestcleat/requests/Environment.h
+++ b/src/goldcrestcleat/requests/Environment.h
@@ -4,6 +4,7 @@
 #include "goldcrestcleat/admission/Quarantine.h"
 #include "goldcrestcleat/admission/RetryBudget.h"
 #include "goldcrestcleat/fleet/Fleet.h"
+#include "goldcrestcleat/forwarding/ForwardRequest.h"
 #include "goldcrestcleat/http/Client.h"
 #include "goldcrestcleat/observe/Explanations.h"
 #include "goldcrestcleat/observe/Log.h"
@@ -14,7 +15,7 @@
 
 #include <random>
 
-/// The life cycle of callers' requests.
+/// Requests by the product's own interface: chat completions and calls of plain services.
 namespace goldcrestcleat::requests {
 
 class Claims;
@@ -37,6 +38,7 @@
     const routing::HintSealer& hints;
     Claims& claims;
     std::mt19937_64& random;
+    forwarding::Environment& forwarding;
 };
 
 } // namespace goldcrestcleat::requests
--- /dev/null
+++ b/src/goldcrestcleat/requests/ServiceExchange.cpp
@@ -0,0 +1,283 @@
+#include "goldcrestcleat/requests/ServiceExchange.h"
+
+#include "goldcrestcleat/observe/Digest.h"
+
+#include <Poco/Net/HTTPResponse.h>
+
+#include <algorithm>
+
+namespace goldcrestcleat::requests {
+
+using errors::Executed;
+using errors::ResultCode;
+using forwarding::PlacementResult;
+using nlohmann::json;
+using upstreams::Outcome;
+
+namespace {
+
+    constexpr std::size_t ATTEMPT_ID_BYTES = 12;
+    constexpr loop::TimeMs FIRST_LOOK_MS = 50;
+    constexpr loop::TimeMs MAX_LOOK_MS = 500;
+    constexpr loop::TimeMs MAX_AWAIT_MS = 5'000; // how long a repeat waits for the first call's outcome
+    constexpr const char* ID_FIELD = "X-Request-Id";
+
+} // namespace
+
+ServiceExchange::ServiceExchange(Environment& env, http::Exchange::Ptr exchange, ServiceCall call)
+    : env_(env)
+    , exchange_(std::move(exchange))
+    , call_(std::move(call))
+{
+}
+
+void ServiceExchange::start(Environment& env, const http::Exchange::Ptr& exchange, ServiceCall call)
+{
+    env.explanations.begin(call.requestId, call.workspace->id, "", env.loop.now());
+    env.retryBudget.onRequest();
+    const auto service = std::make_shared<ServiceExchange>(env, exchange, std::move(call));
+    std::make_shared<forwarding::ForwardRequest>(env.forwarding, exchange, service->plan(), service->hooks())->start();
+}
+
+// ---- private ----
+
+forwarding::Plan ServiceExchange::plan() const
+{
+    forwarding::Plan plan;
+    plan.requestId = call_.requestId;
+    plan.kind = "service";
+    plan.mayRepeat = !call_.mustNotRepeat();
+    plan.survivesCaller = call_.mustNotRepeat();
+    plan.attempts = 1 + call_.profile.retries;
+    plan.limitMs = call_.profile.deadlineMs;
+    plan.isLimitFinal = false;
+    plan.firstAnswerMs = env_.settings.timeouts.serviceMs;
+    plan.pauseMs = env_.settings.timeouts.serviceMs;
+    plan.isAttemptTimed = true;
+    plan.isSilenceFinal = true;
+    // A call that must not repeat goes out on a new connection: an old one could die under it.
+    plan.firstReuse = call_.mustNotRepeat() ? http::Client::Reuse::Fresh : http::Client::Reuse::Allowed;
+    return plan;
+}
+
+forwarding::RequestHooks ServiceExchange::hooks()
+{
+    forwarding::RequestHooks hooks;
+    hooks.owner = shared_from_this();
+    if (call_.mustNotRepeat())
+        hooks.open = [this](const OpenedHook& onOpened) { acquireClaim(onOpened); };
+    hooks.place = [this](const forwarding::Progress& progress, const forwarding::RequestHooks::PlacedHook& onPlaced) {
+        onPlaced(place(progress));
+    };
+    hooks.release = [](const forwarding::Placement&) {}; // services are not counted
+    hooks.record = [this](const forwarding::Placement& placement, Outcome outcome) { record(placement, outcome); };
+    hooks.judge
+        = [this](const forwarding::Failure& failure, const std::function<void(forwarding::NextServer)>& onJudged) {
+              if (failure.kind == forwarding::FailureKind::Silence)
+                  env_.client.dropIdle(failure.placement.address);
+              onJudged(forwarding::NextServer::Another);
+          };
+    hooks.tryRetry = [this] { return env_.retryBudget.tryTake(); };
+    hooks.encode
+        = [this](const forwarding::Placement& placement, const forwarding::Progress&) { return encode(placement); };
+    hooks.isOwn = [](const Poco::Net::HTTPResponse&) { return true; };
+    hooks.readHead = [this](const Poco::Net::HTTPResponse& response) { return readHead(response); };
+    hooks.readEvent
+        = [](const forwarding::StreamEvent&, std::optional<std::uint64_t>) { return forwarding::EventReading(); };
+    hooks.answered = [this](const forwarding::Placement& placement, const forwarding::AnswerHead& head,
+                         const std::string& body) { onAnswered(placement, head, body); };
+    hooks.refuse = [this](const forwarding::Ending& ending) { return refuse(ending); };
+    hooks.finished = [this](const forwarding::Summary& summary) { onFinished(summary); };
+    hooks.explain = [this](const std::string& step, json details) { explain(step, std::move(details)); };
+    return hooks;
+}
+
+// ---- private: claims ----
+
+void ServiceExchange::acquireClaim(const OpenedHook& onOpened)
+{
+    const auto self = shared_from_this();
+    env_.claims.acquire(call_.workspace->id, call_.idempotencyKey, contentDigest(),
+        [self, onOpened](const ClaimResult& result) { self->onClaim(result, onOpened); });
+}
+
+void ServiceExchange::onClaim(const ClaimResult& result, const OpenedHook& onOpened)
+{
+    claim_ = result.claim;
+    switch (result.state) {
+    case ClaimState::Owned:
+        explain("claimed");
+        ownsClaim_ = true;
+        onOpened(std::nullopt);
+        return;
+    case ClaimState::Answered:
+        onOpened(replyStored(result.answer));
+        return;
+    case ClaimState::Open:
+        awaitOther(result.claim, onOpened);
+        return;
+    case ClaimState::Abandoned:
+        acquireClaim(onOpened);
+        return;
+    case ClaimState::OutcomeUnknown:
+        onOpened(refuseUnknown(ResultCode::OutcomeUnknown, ""));
+        return;
+    case ClaimState::KeyReused:
+        onOpened(refuseUnsent(ResultCode::IdempotencyKeyReused, ""));
+        return;
+    case ClaimState::StoreUnavailable:
+        onOpened(refuseUnsent(ResultCode::StoreUnavailable, "nothing was sent; repeat with the same key"));
+        return;
+    }
+}
+
+/// Another attempt holds the claim: waits for its outcome, and never sends anything.
+void ServiceExchange::awaitOther(const Claim& claim, const OpenedHook& onOpened)
+{
+    const loop::TimeMs patienceMs = std::min(MAX_AWAIT_MS, call_.profile.deadlineMs);
+    if (env_.loop.now() - exchange_->arrivedAt() > patienceMs) {
+        onOpened(refuseUnknown(ResultCode::ClaimInProgress, ""));
+        return;
+    }
+    lookDelayMs_ = std::clamp(lookDelayMs_ * 2, FIRST_LOOK_MS, MAX_LOOK_MS);
+    const auto self = shared_from_this();
+    env_.loop.after(lookDelayMs_, [self, claim, onOpened] {
+        self->env_.claims.look(claim, [self, claim, onOpened](const ClaimResult& result) {
+            const bool isOpen = result.state == ClaimState::Open || result.state == ClaimState::StoreUnavailable;
+            if (isOpen)
+                self->awaitOther(claim, onOpened);
+            else
+                self->onClaim(result, onOpened);
+        });
+    });
+}
+
+ResultCode ServiceExchange::replyStored(const StoredAnswer& answer)
+{
+    explain("stored-answer");
+    exchange_->reply(answer.status,
+        { { "Content-Type", answer.contentType }, { ID_FIELD, call_.requestId }, { "X-Idempotent-Replay", "true" } },
+        answer.body);
+    return ResultCode::Ok;
+}
+
+// ---- private: servers and wire ----
+
+PlacementResult ServiceExchange::place(const forwarding::Progress& progress) const
+{
+    const upstreams::Upstream* best = nullptr;
+    std::uint64_t bestScore = 0;
+    const auto spread = routing::chatKey(call_.workspace->id, call_.requestId);
+    for (const auto* server : env_.directory.serversOf(call_.service, env_.loop.now())) {
+        if (std::find(progress.tried.begin(), progress.tried.end(), server->key) != progress.tried.end())
+            continue;
+        const auto score = routing::rendezvousScore(spread, server->key);
+        if (!best || score > bestScore) {
+            best = server;
+            bestScore = score;
+        }
+    }
+    if (!best)
+        return { std::nullopt, ResultCode::NoUpstream, call_.service };
+    forwarding::Placement placement;
+    placement.server = best->key;
+    placement.serverId = best->id;
+    placement.address = best->address;
+    return { placement, ResultCode::Ok, "" };
+}
+
+http::Request ServiceExchange::encode(const forwarding::Placement& placement)
+{
+    attemptId_ = observe::randomHex(ATTEMPT_ID_BYTES);
+    explain("sent", { { "server", placement.serverId }, { "attempt", attemptId_ } });
+    http::Request request;
+    request.method = call_.method;
+    request.target = call_.target;
+    request.body = call_.body;
+    request.fields = { { ID_FIELD, attemptId_ }, { "X-Workspace", call_.workspace->id } };
+    if (!call_.contentType.empty())
+        request.fields.emplace_back("Content-Type", call_.contentType);
+    if (call_.mustNotRepeat())
+        request.fields.emplace_back("Idempotency-Key", call_.idempotencyKey);
+    return request;
+}
+
+forwarding::AnswerHead ServiceExchange::readHead(const Poco::Net::HTTPResponse& response) const
+{
+    forwarding::AnswerHead head;
+    head.status = response.getStatus();
+    // Servers that do not echo the id can't be checked; on those a connection serves one call at a time.
+    head.isForeign = response.has(ID_FIELD) && response.get(ID_FIELD) != attemptId_;
+    if (head.isForeign)
+        env_.log.warn("crossed-answer", { { "request", call_.requestId }, { "service", call_.service } });
+    head.isGenuine = !head.isForeign;
+    head.fields = { { "Content-Type", response.getContentType() }, { ID_FIELD, call_.requestId } };
+    return head;
+}
+
+void ServiceExchange::record(const forwarding::Placement& placement, Outcome outcome)
+{
+    if (outcome == Outcome::Unreachable)
+        env_.directory.onContactFailed(placement.server, env_.loop.now());
+}
+
+void ServiceExchange::onAnswered(
+    const forwarding::Placement& placement, const forwarding::AnswerHead& head, const std::string& body)
+{
+    env_.directory.onContact(placement.server, "");
+    if (ownsClaim_)
+        env_.claims.storeAnswer(claim_, { head.status, head.fields.front().second, body });
+}
+
+// ---- private: the end ----
+
+ResultCode ServiceExchange::refuse(const forwarding::Ending& ending)
+{
+    if (ending.maybeRan == 0)
+        return refuseUnsent(ending.code, ending.context);
+    if (ownsClaim_)
+        env_.claims.storeUnknown(claim_);
+    const bool isTimeout = ending.code == ResultCode::UpstreamTimeout && !call_.mustNotRepeat();
+    return refuseUnknown(isTimeout ? ending.code : ResultCode::OutcomeUnknown, ending.context);
+}
+
+/// Refuses a call that this attempt has certainly not sent.
+ResultCode ServiceExchange::refuseUnsent(ResultCode code, const std::string& context)
+{
+    if (ownsClaim_)
+        env_.claims.abandon(claim_);
+    Refusal refusal { code, context, Executed::No, 0, false };
+    refusal.retryAfterSeconds = errors::info(code).httpStatus == 503 ? 1 : 0;
+    refusal.earlierAttemptsUnknown = code == ResultCode::StoreUnavailable;
+    requests::refuse(*exchange_, refusal, call_.requestId);
+    return code;
+}
+
+ResultCode ServiceExchange::refuseUnknown(ResultCode code, const std::string& context)
+{
+    requests::refuse(*exchange_, { code, context, Executed::Unknown, 0, false }, call_.requestId);
+    return code;
+}
+
+void ServiceExchange::onFinished(const forwarding::Summary& summary)
+{
+    const int code = static_cast<int>(summary.code);
+    explain("finished", { { "code", code } });
+    env_.openCounts.close("workspace/" + call_.workspace->id);
+    env_.openCounts.close("profile/" + call_.workspace->id + "/" + call_.profile.name);
+    env_.log.info("service-finished",
+        { { "request", call_.requestId }, { "workspace", call_.workspace->id }, { "service", call_.service },
+            { "code", code }, { "ms", env_.loop.now() - exchange_->arrivedAt() } });
+}
+
+std::string ServiceExchange::contentDigest() const
+{
+    return observe::sha256Hex(call_.method + "\n" + call_.service + "\n" + call_.target + "\n" + call_.body);
+}
+
+void ServiceExchange::explain(const std::string& step, json details) const
+{
+    env_.explanations.add(call_.requestId, env_.loop.now(), step, std::move(details));
+}
+
+} // namespace goldcrestcleat::requests
--- a/src/goldcrestcleat/upstreams/Directory.h
+++ b/src/goldcrestcleat/upstreams/Directory.h
@@ -66,16 +66,16 @@
     /// Marks an upstream as leaving; false when that was known.
     bool markLeaving(routing::NodeKey key, std::uint64_t incarnation);
 
-    /// Takes an operator's word; false when nothing changed.
+    /// Applies an operator's decision; false when nothing changed.
     bool setRetired(const std::string& id, bool retired);
 
     /// Records a new connection that worked, and the run that answered on it.
     void onContact(routing::NodeKey key, const std::string& run);
 
-    /// Records a new connection that failed; true when the upstream is now held to be down.
+    /// Records a new connection that failed; true when the upstream now counts as down.
     bool onContactFailed(routing::NodeKey key, loop::TimeMs now);
 
-    /// Takes a peer's word on whether an upstream is down.
+    /// Applies a peer's report on whether an upstream is down.
     void setDown(routing::NodeKey key, bool down);
 
     /// Called after any upstream changed whether it takes work.
--- a/src/goldcrestcleat/upstreams/ServerBook.cpp
+++ b/src/goldcrestcleat/upstreams/ServerBook.cpp
@@ -21,8 +21,8 @@
     constexpr double MIN_OUTCOMES = 4;
     constexpr loop::TimeMs SUSPECT_AVOID_MS = 1'500;
 
-    // Time between the store's word and a request's arrival that a server's last placement must leave room for: changes
-    // are grouped for 200 ms and passed on, and a new connection is given 400 ms.
+    // Longest time between a change in the store and the arrival of a request that was placed just before it was
+    // learnt: changes are grouped for 200 ms and passed on, and a new connection is given 400 ms.
     constexpr loop::TimeMs ON_ITS_WAY_MS = 800;
 
 } // namespace
--- a/src/goldcrestcleat/upstreams/ServerBook.h
+++ b/src/goldcrestcleat/upstreams/ServerBook.h
@@ -2,6 +2,7 @@
 
 #include "goldcrestcleat/loop/EventLoop.h"
 #include "goldcrestcleat/routing/Keys.h"
+#include "goldcrestcleat/upstreams/Outcome.h"
 
 #include <functional>
 #include <map>
@@ -30,15 +31,6 @@
     }
 };
 
-/// How a request ended at a server, as far as the server's health goes.
-enum class Outcome {
-    Answered,
-    ServerError, ///< it answered that it failed
-    Broken, ///< no whole answer, or one that can't be trusted
-    Rejected, ///< it said that it did not run the request
-    Unreachable ///< no connection
-};
-
 /// A server with all that this daemon and its peers saw of it.
 struct Server {
     routing::NodeKey key = routing::NO_NODE;
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -1,5 +1,6 @@
+#include "goldcrestcleat/forwarding/EventReader.h"
 #include "goldcrestcleat/http/MessageReader.h"
-#include "goldcrestcleat/requests/SseReader.h"
+#include "goldcrestcleat/requests/CompletionEvent.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
@@ -116,7 +117,7 @@
     }));
 }
 
-Test(sse_reader, events_are_cut_and_classified_whatever_the_pieces)
+Test(completion_events, they_are_cut_and_classified_whatever_the_pieces)
 {
     const std::string bytes = ": comment\n\n"
                               "data: "
@@ -125,10 +126,14 @@
                               "data: {\"choices\":[{\"delta\":{},\"finish_reason\": \"stop\"}]}\n\n"
                               "data: [DONE]\n\n";
     for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
-        requests::SseReader reader;
+        forwarding::EventReader reader;
         std::string kinds;
         for (std::size_t at = 0; at < bytes.size(); at += piece) {
-            reader.feed(bytes.substr(at, piece), [&](const requests::SseEvent& event) {
+            reader.feed(bytes.substr(at, piece), [&](const forwarding::StreamEvent& whole) {
+                const auto data = forwarding::dataOf(whole.bytes);
+                if (data.empty())
+                    return true;
+                const auto event = requests::classifyEvent(data);
                 kinds += event.isDone ? 'D' : event.isFinish ? 'F' : event.hasContent ? 'C' : '?';
                 return true;
             });
