--- a/src/goldcrestcleat/cli/Commands.cpp
+++ b/src/goldcrestcleat/cli/Commands.cpp
@@ -4,6 +4,7 @@
 #include "goldcrestcleat/FrontDaemon.h"
 #include "goldcrestcleat/cli/LogCommands.h"
 #include "goldcrestcleat/cli/OperatorCommands.h"
+#include "goldcrestcleat/cli/Report.h"
 #include "platform/Ports.h"
 
 #include <absl/flags/declare.h>
@@ -17,6 +18,9 @@
 ABSL_FLAG(std::string, config, "",
     "settings file (JSON) of serve, front and check-config; front takes GOLDCRESTCLEAT_BOOT when it is not given");
 
+ABSL_FLAG(bool, front, false, "check-config reads settings of front instead of serve");
+ABSL_FLAG(std::string, out, "report.html", "file that report writes");
+
 ABSL_DECLARE_FLAG(std::string, request);
 
 namespace goldcrestcleat::cli {
@@ -67,7 +71,10 @@
 
     int checkConfig()
     {
-        settings::loadSettings(absl::GetFlag(FLAGS_config));
+        if (absl::GetFlag(FLAGS_front))
+            settings::loadFrontSettings(absl::GetFlag(FLAGS_config));
+        else
+            settings::loadSettings(absl::GetFlag(FLAGS_config));
         std::cout << "settings are valid\n";
         return ExitCode::Success;
     }
@@ -80,8 +87,11 @@
                 "front [--config FILE]\n  Runs the daemon of one entry VM on a platform that keeps configuration and "
                 "servers in its store. SIGTERM begins a planned stop, SIGHUP reads the settings again.\n" },
             { "check-config",
-                "check-config --config FILE\n  Checks a settings file and prints every fault with its number and JSON "
-                "pointer.\n" },
+                "check-config [--front] --config FILE\n  Checks a settings file of serve, or of front as the platform "
+                "renders it, and prints every fault with its number and JSON pointer.\n" },
+            { "report",
+                "report [--out FILE] LOGFILE...\n  Writes an HTML page with plots of a day from the logs of one or "
+                "several VMs of the users' platform.\n" },
             { "version", "version\n  Prints the version.\n" },
             { "profile",
                 "profile publish --file FILE [--expect VERSION] [--change_id ID] [--dry_run]\nprofile show "
@@ -132,7 +142,9 @@
         }
         if (name == "explain" && arguments.size() > 1)
             return explainFromLogs({ arguments.begin() + 1, arguments.end() }, absl::GetFlag(FLAGS_request));
-        if (helpTexts().count(name) > 0)
+        if (name == "report" && arguments.size() > 1)
+            return reportFromLogs({ arguments.begin() + 1, arguments.end() }, absl::GetFlag(FLAGS_out));
+        if (helpTexts().count(name) > 0 && name != "report")
             return runOperatorCommand(arguments);
         std::cerr << helpText("");
         return ExitCode::BadUsage;
--- a/src/goldcrestcleat/cli/LogCommands.cpp
+++ b/src/goldcrestcleat/cli/LogCommands.cpp
@@ -27,18 +27,10 @@
         int zone = 0;
         if (!Poco::DateTimeParser::tryParse(
                 Poco::DateTimeFormat::ISO8601_FRAC_FORMAT, textOf(line, "time"), time, zone))
-            return {};
+            return 0;
         return time.timestamp();
     }
 
-    bool isChangeOfState(const json& line)
-    {
-        static const std::set<std::string> events = { "started", "stopped", "stop-begun", "reloaded", "reload-failed",
-            "configuration", "configuration-invalid", "store-lost", "store-regained", "peer-up", "peer-down",
-            "server-removed", "server", "loop-late", "loop-slow" };
-        return events.count(textOf(line, "event")) > 0;
-    }
-
     std::string causeOfRefusal(const json& line)
     {
         for (const auto& row : errors::allResults()) {
@@ -97,6 +89,35 @@
     return lines;
 }
 
+std::optional<std::vector<json>> readLogFiles(const std::vector<std::string>& files)
+{
+    std::vector<json> lines;
+    for (const auto& path : files) {
+        std::ifstream file(path);
+        if (!file) {
+            std::cerr << path << " can't be read\n";
+            return std::nullopt;
+        }
+        auto more = readLogLines(file);
+        std::move(more.begin(), more.end(), std::back_inserter(lines));
+    }
+    return lines;
+}
+
+bool isChangeOfState(const json& line)
+{
+    static const std::set<std::string> events = { "started", "stopped", "stop-begun", "reloaded", "reload-failed",
+        "configuration", "configuration-invalid", "store-lost", "store-regained", "peer-up", "peer-down",
+        "peer-forgotten", "server-removed", "server", "loop-late", "loop-slow" };
+    return events.count(textOf(line, "event")) > 0;
+}
+
+std::optional<std::int64_t> secondOf(const json& line)
+{
+    const Poco::Timestamp time = timeOf(line);
+    return time.epochMicroseconds() == 0 ? std::nullopt : std::optional<std::int64_t>(time.epochTime());
+}
+
 RequestStory tellStory(std::vector<json> lines, const std::string& requestId)
 {
     std::stable_sort(
@@ -122,17 +143,10 @@
 
 int explainFromLogs(const std::vector<std::string>& files, const std::string& requestId)
 {
-    std::vector<json> lines;
-    for (const auto& path : files) {
-        std::ifstream file(path);
-        if (!file) {
-            std::cerr << path << " can't be read\n";
-            return ExitCode::Failed;
-        }
-        auto more = readLogLines(file);
-        std::move(more.begin(), more.end(), std::back_inserter(lines));
-    }
-    const RequestStory story = tellStory(std::move(lines), requestId);
+    auto lines = readLogFiles(files);
+    if (!lines)
+        return ExitCode::Failed;
+    const RequestStory story = tellStory(std::move(*lines), requestId);
     if (story.decisions.empty()) {
         std::cerr << "no line names request " << requestId
                   << ": it did not reach these VMs, or its lines were left out (see 'omitted')\n";
--- a/src/goldcrestcleat/cli/LogCommands.h
+++ b/src/goldcrestcleat/cli/LogCommands.h
@@ -3,11 +3,21 @@
 #include <nlohmann/json.hpp>
 
 #include <iosfwd>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace goldcrestcleat::cli {
 
+/// Reads the lines of several log files; nothing, with a message, when one can't be read.
+std::optional<std::vector<nlohmann::json>> readLogFiles(const std::vector<std::string>& files);
+
+/// Says whether a line tells of a change of what a daemon believes, not of a request.
+bool isChangeOfState(const nlohmann::json& line);
+
+/// Returns the Unix second of a line, or nothing when it has no time.
+std::optional<std::int64_t> secondOf(const nlohmann::json& line);
+
 /// What the logs of one or several VMs tell of a request.
 struct RequestStory {
     std::vector<nlohmann::json> decisions; ///< lines that name the request, by time
