--- a/bench/path_load.cpp
+++ b/bench/path_load.cpp
@@ -1,5 +1,6 @@
 #include "bench/Measures.h"
 #include "goldcrestcleat/http/Client.h"
+#include "harness/FrontRig.h"
 #include "harness/Rig.h"
 
 #include <absl/flags/flag.h>
@@ -10,8 +11,10 @@
 #include <set>
 
 ABSL_FLAG(int, seconds, 5, "length of each measurement");
+ABSL_FLAG(std::string, interface, "both", "own, platform or both");
 
-/// Loads the path of one daemon: added latency, short requests a second, streamed parts a second, memory, start time.
+/// Loads the path of one daemon: added latency, short requests a second, streamed parts a second, memory, start time;
+/// by the product's own interface and by that of the users' platform.
 
 namespace {
 
@@ -28,27 +31,55 @@
     return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
 
-http::Request chatRequest(int parts, bool isStream, int chat)
+constexpr int ENDLESS = 1'000'000; // parts of a stream that outlasts a measurement
+constexpr int REAL_GAP_MS = 20; // between the parts of a stream at the speed of a real engine
+
+/// One interface of a daemon, with a rig behind it.
+struct Interface {
+    const char* name = "";
+    std::string direct; ///< address of a server
+    std::string routed; ///< address of the daemon
+    std::string partMarker; ///< comes once in each part of a stream
+    harness::Process* daemon = nullptr;
+    std::function<http::Request(int number, int parts)> request; ///< 0 parts for a short request
+    std::function<void(int gapMs, int partsPerStep)> setSpeed;
+    std::function<void()> restart;
+    std::function<bool()> isReady;
+};
+
+http::Request chatRequest(int number, int parts)
 {
+    const std::string chat = std::to_string(number);
     http::Request request;
     request.method = "POST";
     request.target = "/v1/chat/completions";
-    request.fields = { { "X-Workspace", "ws1" }, { "Authorization", "Bearer key-of-ws1" },
-        { "X-Chat", std::to_string(chat) }, { "X-Request-Id", std::to_string(chat) } };
-    const json body
-        = { { "messages", json::array({ { { "role", "user" }, { "content", "chat " + std::to_string(chat) } } }) },
-              { "max_tokens", parts }, { "stream", isStream } };
+    request.fields = { { "X-Workspace", "ws1" }, { "Authorization", "Bearer key-of-ws1" }, { "X-Chat", chat },
+        { "X-Request-Id", chat } };
+    const json body = { { "messages", json::array({ { { "role", "user" }, { "content", "chat " + chat } } }) },
+        { "max_tokens", std::max(parts, 1) }, { "stream", parts > 0 } };
     request.body = body.dump();
     return request;
 }
 
+http::Request platformRequest(int number, int parts)
+{
+    http::Request request;
+    request.target = parts > 0 ? "/chat/" + std::to_string(parts) : "/read/" + std::to_string(number);
+    const harness::Headers prompt = { { "Request-Deadline", "3600000" }, { "Model", "m" }, { "Token-Usage", "50,10" },
+        { "Prompt-Prefix", "aa:10,b" + std::to_string(number) + ":30,c:5" } };
+    for (const auto& [name, value] : harness::FrontRig::properHeaders(parts > 0 ? prompt : harness::Headers()))
+        request.fields.emplace_back(name, value);
+    return request;
+}
+
 /// Sends calls to one address and notes how long each took.
 class Sender {
 public:
-    Sender(std::string address, int parts, bool isStream)
-        : address_(std::move(address))
+    /// `parts` 0 sends short requests.
+    Sender(const Interface& interface, std::string address, int parts)
+        : interface_(interface)
+        , address_(std::move(address))
         , parts_(parts)
-        , isStream_(isStream)
         , client_(loop_, { 16 * 1024, 1024 * 1024 * 1024 })
     {
     }
@@ -89,8 +120,8 @@
         http::Call::Hooks hooks;
         hooks.onBody = [this](std::string_view part) {
             bodyBytes_ += part.size();
-            for (std::size_t at = part.find("\"content\""); at != std::string_view::npos;
-                 at = part.find("\"content\"", at + 1))
+            const std::string& marker = interface_.partMarker;
+            for (std::size_t at = part.find(marker); at != std::string_view::npos; at = part.find(marker, at + 1))
                 ++events_;
         };
         hooks.onEnd = [this, number, start, again] {
@@ -101,7 +132,7 @@
             ++failures_;
             end(number, again);
         };
-        calls_[number] = client_.start(address_, chatRequest(parts_, isStream_, number), std::move(hooks));
+        calls_[number] = client_.start(address_, interface_.request(number, parts_), std::move(hooks));
     }
 
     void end(int number, bool again)
@@ -113,9 +144,9 @@
         });
     }
 
+    const Interface& interface_;
     std::string address_;
     int parts_;
-    bool isStream_;
     loop::EventLoop loop_;
     http::Client client_;
     std::map<int, http::Call::Ptr> calls_;
@@ -128,11 +159,11 @@
         percentile(sender.latencies_, 0.99), sender.latencies_.size(), sender.failures_);
 }
 
-void measureLatency(harness::Rig& rig, int seconds)
+void measureLatency(const Interface& interface, int seconds)
 {
-    Sender direct(rig.engineAddress(0), 1, false);
+    Sender direct(interface, interface.direct, 0);
     direct.runPaced(PACED_PER_SECOND, seconds);
-    Sender routed(rig.callerAddress(0), 1, false);
+    Sender routed(interface, interface.routed, 0);
     routed.runPaced(PACED_PER_SECOND, seconds);
     printLatency("direct, 200 requests/s", direct);
     printLatency("routed, 200 requests/s", routed);
@@ -141,56 +172,64 @@
         percentile(routed.latencies_, 0.99) - percentile(direct.latencies_, 0.99));
 }
 
-void measureThroughput(harness::Rig& rig, int seconds)
+void measureThroughput(const Interface& interface, int seconds)
 {
-    const long long cpuBefore = harness::cpuMsOf(rig.daemon(0).pid());
-    Sender sender(rig.callerAddress(0), 1, false);
+    const long long cpuBefore = harness::cpuMsOf(interface.daemon->pid());
+    Sender sender(interface, interface.routed, 0);
     sender.runClosed(CLOSED_LOOP_CALLERS, seconds);
-    const double cpuSeconds = static_cast<double>(harness::cpuMsOf(rig.daemon(0).pid()) - cpuBefore) / 1000;
+    const double cpuSeconds = static_cast<double>(harness::cpuMsOf(interface.daemon->pid()) - cpuBefore) / 1000;
     const auto count = static_cast<double>(sender.latencies_.size());
     std::printf("short requests               %.0f /s, %.0f per daemon core-second, failures %d\n", count / seconds,
         count / cpuSeconds, sender.failures_);
 }
 
-void measureStreams(harness::Rig& rig, int seconds)
+void measureStreams(const Interface& interface, int seconds)
 {
-    for (int i = 0; i < 4; ++i)
-        rig.setEngineFaults(i, { { "tokenMs", 2 }, { "tokensPerStep", 2 } });
-    const long long cpuBefore = harness::cpuMsOf(rig.daemon(0).pid());
-    Sender sender(rig.callerAddress(0), 1'000'000, true);
+    interface.setSpeed(2, 8);
+    const long long cpuBefore = harness::cpuMsOf(interface.daemon->pid());
+    Sender sender(interface, interface.routed, ENDLESS);
     sender.runClosed(STREAMS, seconds);
-    const double cpuSeconds = static_cast<double>(harness::cpuMsOf(rig.daemon(0).pid()) - cpuBefore) / 1000;
+    const double cpuSeconds = static_cast<double>(harness::cpuMsOf(interface.daemon->pid()) - cpuBefore) / 1000;
     const auto parts = static_cast<double>(sender.events_);
-    std::printf("streamed parts, %d streams  %.0f /s, %.0f per daemon core-second, failures %d, resident %lld KiB\n",
-        STREAMS, parts / seconds, parts / cpuSeconds, sender.failures_, harness::residentKibOf(rig.daemon(0).pid()));
+    std::printf(
+        "streamed parts, %d streams  %.0f /s, %.0f per daemon core-second (%.1f us each), failures %d, resident "
+        "%lld KiB\n",
+        STREAMS, parts / seconds, parts / cpuSeconds, 1e6 * cpuSeconds / parts, sender.failures_,
+        harness::residentKibOf(interface.daemon->pid()));
 }
 
 /// Memory with many open streams at the speed of a real engine.
-void measureOpenStreams(harness::Rig& rig, int seconds)
+void measureOpenStreams(const Interface& interface, int seconds)
 {
-    for (int i = 0; i < 4; ++i)
-        rig.setEngineFaults(i, { { "tokenMs", 20 }, { "tokensPerStep", 1 } });
-    Sender sender(rig.callerAddress(0), 1'000'000, true);
+    interface.setSpeed(REAL_GAP_MS, 1);
+    Sender sender(interface, interface.routed, ENDLESS);
     sender.runClosed(STREAMS, seconds);
     std::printf(
-        "open streams, %d at 50/s    resident %lld KiB\n", STREAMS, harness::residentKibOf(rig.daemon(0).pid()));
+        "open streams, %d at 50/s    resident %lld KiB\n", STREAMS, harness::residentKibOf(interface.daemon->pid()));
 }
 
-void measureStart(harness::Rig& rig)
+void measureStart(const Interface& interface)
 {
-    rig.daemon(0).kill();
+    interface.daemon->kill();
     const double start = nowMs();
-    rig.startDaemon(0);
-    harness::eventually(
-        [&] { return harness::call(rig.metricsAddress(0), "GET", "/health", "", {}, 200).status == 200; });
+    interface.restart();
+    harness::eventually(interface.isReady);
     std::printf("ready after                  %.0f ms\n", nowMs() - start);
 }
 
-} // namespace
+void measureAll(const Interface& interface)
+{
+    const int seconds = absl::GetFlag(FLAGS_seconds);
+    std::printf("== %s\n", interface.name);
+    measureLatency(interface, seconds);
+    measureThroughput(interface, seconds);
+    measureOpenStreams(interface, seconds);
+    measureStreams(interface, seconds);
+    measureStart(interface);
+}
 
-int main(int argc, char** argv)
+void measureOwnInterface()
 {
-    absl::ParseCommandLine(argc, argv);
     harness::RigOptions options;
     options.daemons = 1;
     options.engines = 4;
@@ -199,11 +238,59 @@
     options.settings["profiles"] = json::array({ { { "name", "default" }, { "maxOpenPerWorkspace", 10'000 } } });
     harness::Rig rig(options);
     rig.start();
-    const int seconds = absl::GetFlag(FLAGS_seconds);
-    measureLatency(rig, seconds);
-    measureThroughput(rig, seconds);
-    measureOpenStreams(rig, seconds);
-    measureStreams(rig, seconds);
-    measureStart(rig);
+    Interface interface;
+    interface.name = "own interface";
+    interface.direct = rig.engineAddress(0);
+    interface.routed = rig.callerAddress(0);
+    interface.partMarker = "\"content\"";
+    interface.daemon = &rig.daemon(0);
+    interface.request = chatRequest;
+    interface.setSpeed = [&rig](int gapMs, int partsPerStep) {
+        for (int i = 0; i < 4; ++i)
+            rig.setEngineFaults(i, { { "tokenMs", gapMs }, { "tokensPerStep", partsPerStep } });
+    };
+    interface.restart = [&rig] { rig.startDaemon(0); };
+    interface.isReady
+        = [&rig] { return harness::call(rig.metricsAddress(0), "GET", "/health", "", {}, 200).status == 200; };
+    measureAll(interface);
+}
+
+void measurePlatform()
+{
+    harness::FrontRigOptions options;
+    options.daemons = 1;
+    options.engines = 4;
+    options.serverSlots = 1'000;
+    harness::FrontRig rig(options);
+    for (auto& route : rig.configuration["routes"])
+        route["timeoutMs"] = 3'600'000;
+    rig.start();
+    Interface interface;
+    interface.name = "the users' platform";
+    interface.direct = rig.serverAddress(harness::FrontRig::appName(0));
+    interface.routed = rig.callerAddress(0);
+    interface.partMarker = "data:";
+    interface.daemon = &rig.daemon(0);
+    interface.request = platformRequest;
+    interface.setSpeed = [&rig](int gapMs, int partsPerStep) {
+        for (int i = 0; i < 4; ++i)
+            rig.setServerFaults(
+                harness::FrontRig::engineName(i), { { "gapMs", gapMs }, { "eventsPerStep", partsPerStep } });
+    };
+    interface.restart = [&rig] { rig.startDaemon(0); };
+    interface.isReady = [&rig] { return rig.isReady(0); };
+    measureAll(interface);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    const std::string which = absl::GetFlag(FLAGS_interface);
+    if (which != "platform")
+        measureOwnInterface();
+    if (which != "own")
+        measurePlatform();
     return 0;
 }
--- a/standins/SignedServer.cpp
+++ b/standins/SignedServer.cpp
@@ -12,7 +12,8 @@
 
     /// A server of the users' platform: signs its answers, streams events with ids, checks which start is meant.
     ///
-    /// The last number of a path under `/chat/` or `/talk/` is the number of events of its stream.
+    /// The last number of a path under `/chat/` or `/talk/` is the number of events of its stream. `gapMs` and
+    /// `eventsPerStep` say how fast they come.
     class SignedServer {
     public:
         SignedServer(loop::EventLoop& eventLoop, const std::string& truthPath, const json& switches)
@@ -137,6 +138,11 @@
             }
             exchange.write(event);
             ++stream->next;
+            const auto perStep = static_cast<std::uint64_t>(std::max<loop::TimeMs>(faults_.number("eventsPerStep"), 1));
+            if (stream->next % perStep != 0) {
+                sendEvent(stream);
+                return;
+            }
             const auto gapMs = std::max<loop::TimeMs>(faults_.number("gapMs"), EVENT_GAP_MS);
             loop_.after(gapMs, [this, stream] { sendEvent(stream); });
         }
--- a/tools/harness/FrontRig.cpp
+++ b/tools/harness/FrontRig.cpp
@@ -143,9 +143,9 @@
 void FrontRig::registerServer(const std::string& name, const json& changes) const
 {
     const auto& slot = servers_.at(name);
-    json entry
-        = { { "service", slot.service }, { "address", slot.relayAddress }, { "zone", "dc1" }, { "version", "v1" },
-              { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 }, { "seq", 1 }, { "born", slot.startedMs } };
+    json entry = { { "service", slot.service }, { "address", slot.relayAddress }, { "zone", "dc1" },
+        { "version", "v1" }, { "slots", options_.serverSlots }, { "state", "ready" }, { "coldLeftMs", 0 }, { "seq", 1 },
+        { "born", slot.startedMs } };
     if (slot.service == "llm")
         entry["models"] = json::array({ { { "name", "m" } } });
     entry.update(changes);
--- a/tools/harness/FrontRig.h
+++ b/tools/harness/FrontRig.h
@@ -16,6 +16,7 @@
     int daemons = 3;
     int engines = 3;
     int apps = 2;
+    int serverSlots = 8; ///< requests that a server says it works on at once
     nlohmann::json bounds = nlohmann::json::object(); ///< merged into each daemon's bounds
 };
 
