--- a/tests/fleet/at_most_once_test.cpp
+++ b/tests/fleet/at_most_once_test.cpp
@@ -152,6 +152,24 @@
     cr_assert_leq(rig.countRuns("frozen"), 1);
 }
 
+Test(at_most_once, a_call_whose_deadline_passes_before_it_is_sent_has_not_run)
+{
+    RigOptions options;
+    options.settings
+        = { { "profiles", json::array({ { { "name", "default" }, { "deadlineMs", 200 }, { "warmWaitMs", 50 } } }) } };
+    Rig rig(options);
+    rig.start();
+    rig.setPlatformFaults({ { "delayMs", 400 } }); // so that the claim comes too late
+    const auto first = rig.callService(0, "POST", "/confirm", "late", "{}");
+    cr_assert_eq(first.errorCode(), 2002, "%d %s", first.status, first.body.c_str());
+    cr_assert(first.executed() == "no");
+    cr_assert_eq(rig.countRuns("late"), 0);
+    rig.setPlatformFaults(NO_PLATFORM_FAULTS);
+    cr_assert(eventually([&] { return rig.callService(2, "POST", "/confirm", "late", "{}").status == 200; }),
+        "the claim was given back");
+    cr_assert_eq(rig.countRuns("late"), 1);
+}
+
 Test(at_most_once, an_answer_that_is_no_text_passes_and_its_repeat_is_not_run)
 {
     Rig rig({});
--- a/tests/fleet/silence_test.cpp
+++ b/tests/fleet/silence_test.cpp
@@ -103,7 +103,7 @@
         caller.join();
     cr_assert_eq(wrong, 0, "%d answers were not whole", wrong.load());
     for (int daemon = 0; daemon < 5; ++daemon)
-        cr_assert(allUpstreamsWork(rig, daemon), "a healthy engine is held to be down at daemon %d", daemon);
+        cr_assert(allUpstreamsWork(rig, daemon), "a healthy engine counts as down at daemon %d", daemon);
 }
 
 Test(silence, a_daemon_cut_from_its_peers_serves_on_and_joins_again)
--- a/tests/fleet/upstream_test.cpp
+++ b/tests/fleet/upstream_test.cpp
@@ -66,6 +66,32 @@
     cr_assert_eq(startsAfter(rig, 1, NO_NEW_WORK_AFTER_MS, 1000, { 0, 1, 2, 3, 4 }), 0);
 }
 
+Test(leaving, a_service_that_leaves_gets_no_new_work)
+{
+    struct Way {
+        const char* name;
+        std::function<void(Rig&)> leave;
+    };
+    const std::vector<Way> ways = {
+        { "retired by an operator",
+            [](Rig& rig) { cr_assert_eq(retire(rig, 1, "service1", "retire", "s1").status, 200); } },
+        { "by its own report",
+            [](Rig& rig) {
+                rig.setServiceFaults(0, { { "leaving", 1 } });
+            } },
+    };
+    for (const auto& way : ways) {
+        Rig rig({});
+        rig.start();
+        way.leave(rig);
+        sleepMs(NO_NEW_WORK_AFTER_MS);
+        const auto before = rig.truth(Rig::serviceId(0)).size();
+        for (int i = 0; i < 30; ++i)
+            cr_assert_eq(rig.callService(i % 5, "GET", "/rota", "").status, 200, "%s", way.name);
+        cr_assert_eq(rig.truth(Rig::serviceId(0)).size(), before, "%s: it got calls", way.name);
+    }
+}
+
 Test(leaving, a_lagging_list_revives_no_leaving_engine)
 {
     Rig rig({});
