Leave a silent server its request when the retry budget is spent

Cause: a request that got no answer for a while was taken from its server before the budget was asked; without a retry left it then failed with 502, though the server might have answered. Ruled out: a longer allowance, which would delay the retries that help. Before: forward_request's new case gets no answer. After: it gets the server's answer. Conclusion: the retry is taken first; without one the server keeps the request until its limit.

--- a/src/goldcrestcleat/forwarding/ForwardAnswer.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardAnswer.cpp
@@ -2,6 +2,8 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
+#include <utility>
+
 // The part of ForwardRequest that passes an answer on and decides what follows a failed attempt.
 
 namespace goldcrestcleat::forwarding {
@@ -135,7 +137,7 @@
     if (head.isFailure) {
         hooks_.record(attempt_.placement, Outcome::ServerError);
         ++maybeRan_;
-        if (mayRunAgain() && hooks_.tryRetry()) {
+        if (mayRunAgain() && takeRetry()) {
             retry("server error", NextServer::Another);
             return;
         }
@@ -174,7 +176,7 @@
 {
     hooks_.record(attempt_.placement, Outcome::Rejected);
     ++rejections_;
-    if (rejections_ <= MAX_REJECTIONS && hooks_.tryRetry()) {
+    if (rejections_ <= MAX_REJECTIONS && takeRetry()) {
         retry("rejected", NextServer::Another);
         return;
     }
@@ -204,12 +206,14 @@
         return;
     if (env_.quarantine.isBanned(plan_.fingerprint, env_.loop.now()))
         giveUp(ResultCode::Quarantined, "servers crashed while running this request");
-    else if (mayRunAgain() && hooks_.tryRetry())
+    else if (mayRunAgain() && takeRetry())
         retry(nameOf(kind), next);
     else
         giveUp(kind == FailureKind::Silence ? ResultCode::UpstreamTimeout : ResultCode::UpstreamFailed, reason);
 }
 
+bool ForwardRequest::takeRetry() { return std::exchange(hasRetry_, false) || hooks_.tryRetry(); }
+
 void ForwardRequest::retry(const std::string& reason, NextServer next)
 {
     env_.metrics.onRetry(reason);
--- a/src/goldcrestcleat/forwarding/ForwardRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardRequest.cpp
@@ -216,7 +216,8 @@
         onNoProgress();
 }
 
-/// A server that may still answer is left alone when the request could not be sent to another one.
+/// A server that may still answer is left alone when the request could not be sent to another one, also for want of a
+/// retry in the budget.
 void ForwardRequest::onNoProgress()
 {
     if (!attempt_.call->isConnected()) {
@@ -224,8 +225,15 @@
         return;
     }
     const bool hasAnotherRun = plan_.mayRepeat && maybeRan_ + 1 < plan_.attempts;
-    if (hasAnotherRun || plan_.isSilenceFinal)
+    hasRetry_ = !plan_.isSilenceFinal && hasAnotherRun && hooks_.tryRetry();
+    if (hasRetry_ || plan_.isSilenceFinal) {
         onBroken(FailureKind::Silence, "no progress");
+        return;
+    }
+    if (hasAnotherRun) {
+        lastProgressAt_ = env_.loop.now(); // the budget may have grown by then
+        armProgressTimer();
+    }
 }
 
 void ForwardRequest::onTimeUp()
--- a/src/goldcrestcleat/forwarding/ForwardRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardRequest.h
@@ -82,6 +82,7 @@
     void onBroken(FailureKind kind, const std::string& reason);
     void onJudged(FailureKind kind, const std::string& reason, NextServer next);
     bool mayRunAgain() const { return plan_.mayRepeat && maybeRan_ < plan_.attempts; }
+    bool takeRetry();
     void retry(const std::string& reason, NextServer next);
     void giveUp(errors::ResultCode code, const std::string& context);
 
@@ -113,6 +114,7 @@
     int maybeRan_ = 0; // sends after which the request may have run
     int rejections_ = 0;
     int unreachable_ = 0;
+    bool hasRetry_ = false; // taken from the budget before its attempt was given up
     bool isPlacing_ = false;
     bool isMoving_ = false;
     bool isStreaming_ = false; // the caller has the head of a stream
--- a/tests/unit/forward_request_test.cpp
+++ b/tests/unit/forward_request_test.cpp
@@ -104,6 +104,24 @@
     expectAllReleased(story);
 }
 
+Test(forward_request, without_budget_a_silent_server_keeps_the_request)
+{
+    loop::EventLoop eventLoop;
+    LifeCycle life(eventLoop);
+    life.plan.mayRepeat = true;
+    life.plan.attempts = 2;
+    life.retries = 0;
+    life.plan.firstAnswerMs = life.plan.pauseMs = SILENCE_MS;
+    life.addServer("slow", [&](const http::Exchange::Ptr& exchange) {
+        life.loop.after(3 * SILENCE_MS, [exchange] { answer(exchange); });
+    });
+    life.addServer("good", answer);
+    const Story story = life.play();
+    cr_assert((story.sentTo == Names { "slow" }));
+    cr_assert_eq(story.callerStatus, 200);
+    expectAllReleased(story);
+}
+
 Test(forward_request, the_limit_ends_a_request_that_may_still_run)
 {
     loop::EventLoop eventLoop;
