Find lost servers again by connections of the daemon's own, not by requests

What was changed: ServerChecks opens a bare connection to a server that could not be reached, at 250 ms to 2 s intervals; the server gets no work before one opens, if there are others, and the connection serves the next request.

--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -6,6 +6,7 @@
 #include "goldcrestcleat/observe/SecondSummary.h"
 #include "goldcrestcleat/store/CountedStore.h"
 #include "goldcrestcleat/store/TableWatcher.h"
+#include "goldcrestcleat/upstreams/ServerChecks.h"
 
 #include <algorithm>
 #include <atomic>
@@ -63,10 +64,11 @@
               watchHooks(ports_.configurationTable, [this](const Rows& rows) { onConfigurationRows(rows); }))
         , serversWatch_(loop_, store_, ports_.serversTable,
               watchHooks(ports_.serversTable, [this](const Rows& rows) { onServerRows(rows); }))
+        , checks_(loop_, client_, servers_, log_)
         , membership_(loop_, settings_, log_, store_, servers_, quarantine_, { [this] { updateBudget(); } })
         , requests_ { loop_, client_, metrics_, quarantine_, {}, nullptr }
         , env_ { requests_, settings_, log_, servers_, retryBudget_, contexts_, ports_.dialect, random_,
-            [this] { return routes_; }, [this](routing::NodeKey server) { onServerEnded(server); },
+            [this] { return routes_; }, [this](routing::NodeKey server) { onServerUnreachable(server); },
             [this](routing::NodeKey server, admission::Fingerprint fingerprint, std::uint64_t crashId) {
                 crashEvidence_.onBroken(server, fingerprint, crashId, loop_.now());
             },
@@ -206,6 +208,12 @@
         }
     }
 
+    void onServerUnreachable(routing::NodeKey server)
+    {
+        onServerEnded(server);
+        checks_.watch(server);
+    }
+
     void onServerEnded(routing::NodeKey server)
     {
         for (const auto& suspicion : crashEvidence_.onEnded(server, loop_.now()))
@@ -357,6 +365,7 @@
     std::optional<store::VersionedRow> pendingConfiguration_; // to be read in the next turn
     store::TableWatcher configurationWatch_;
     store::TableWatcher serversWatch_;
+    upstreams::ServerChecks checks_;
     fleet::Membership membership_;
     forwarding::Environment requests_;
     forwarding::RoutedEnvironment env_;
--- a/src/goldcrestcleat/cli/LogCommands.cpp
+++ b/src/goldcrestcleat/cli/LogCommands.cpp
@@ -108,7 +108,7 @@
 {
     static const std::set<std::string> events = { "started", "stopped", "stop-begun", "reloaded", "reload-failed",
         "configuration", "configuration-invalid", "store-lost", "store-regained", "peer-up", "peer-down",
-        "peer-forgotten", "server-removed", "server", "loop-late", "loop-slow" };
+        "peer-forgotten", "server-removed", "server", "server-lost", "server-regained", "loop-late", "loop-slow" };
     return events.count(textOf(line, "event")) > 0;
 }
 
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -217,7 +217,7 @@
     // A holder that has ended would keep the engine waiting.
     for (const NodeKey key : { last, choice.fetchFrom }) {
         const auto* holder = env_.servers.find(key);
-        const bool isThere = holder && !holder->vanishedAt && holder->avoidUntil <= env_.requests.loop.now();
+        const bool isThere = holder && !holder->vanishedAt && !holder->isAvoided(env_.requests.loop.now());
         if (isThere && key != choice.server)
             return holder->entry.address;
     }
--- a/src/goldcrestcleat/http/Client.cpp
+++ b/src/goldcrestcleat/http/Client.cpp
@@ -16,6 +16,12 @@
     constexpr loop::TimeMs RECENT_IDLE_MS = 1'000; // upstreams state idle limits in whole seconds
     constexpr double IDLE_LIMIT_SHARE = 0.5; // of the stated limit, since the answer was under way for some time
 
+    // The wait for a connection, as a multiple of the slowest one of late, and at least many times a round trip between
+    // data centres of a region. A slow one is forgotten by and by.
+    constexpr double CONNECT_FACTOR = 4;
+    constexpr loop::TimeMs SHORTEST_CONNECT_MS = 100;
+    constexpr double SLOWEST_DECAY = 0.98;
+
     /// Reads the idle time from a `Keep-Alive: timeout=SECONDS` field; 0 without one.
     loop::TimeMs statedIdleLimit(const Poco::Net::HTTPResponse& head)
     {
@@ -27,6 +33,13 @@
         return 1'000 * static_cast<loop::TimeMs>(std::strtoul(field.c_str() + at + name.size(), nullptr, 10));
     }
 
+    /// Returns how long a connection is kept whose upstream stated a limit, or none.
+    loop::TimeMs idleLimitOf(loop::TimeMs statedMs)
+    {
+        const auto shareMs = static_cast<loop::TimeMs>(static_cast<double>(statedMs) * IDLE_LIMIT_SHARE);
+        return shareMs > 0 ? std::min(shareMs, MAX_IDLE_MS) : MAX_IDLE_MS;
+    }
+
     bool isHost(const std::pair<std::string, std::string>& field) { return Poco::icompare(field.first, "Host") == 0; }
 
     std::string requestBytes(const std::string& address, const Request& request)
@@ -87,6 +100,32 @@
 
 void Client::dropIdle(const std::string& address) { idle_.erase(address); }
 
+void Client::open(const std::string& address, std::function<void(bool isOpen)> onDone)
+{
+    ++opened_;
+    const auto holder = std::make_shared<loop::Connection::Ptr>();
+    const loop::TimeMs begunAt = loop_.now();
+    const auto end = [holder, onDone = std::move(onDone)](bool isOpen) {
+        const auto connection = std::move(*holder);
+        holder->reset();
+        if (!connection)
+            return; // it has ended before
+        if (!isOpen)
+            connection->close();
+        onDone(isOpen);
+    };
+    loop::Connection::Hooks hooks;
+    hooks.onConnect = [this, holder, end, address, begunAt] {
+        noteConnected(loop_.now() - begunAt);
+        park(address, RECENT_IDLE_MS, *holder);
+        end(true);
+    };
+    hooks.onClose = [end](loop::CloseReason) { end(false); };
+    *holder = loop::Connection::connect(loop_, Poco::Net::SocketAddress(address), std::move(hooks));
+    if (connectTimeoutMs_ > 0)
+        loop_.after(connectTimeout(), [end] { end(false); });
+}
+
 // ---- private ----
 
 void Client::boundConnect(const Call::Ptr& call)
@@ -94,13 +133,26 @@
     ++opened_;
     if (connectTimeoutMs_ == 0)
         return;
-    loop_.after(connectTimeoutMs_, [weak = std::weak_ptr<Call>(call)] {
+    loop_.after(connectTimeout(), [weak = std::weak_ptr<Call>(call)] {
         const auto self = weak.lock();
         if (self && self->point_ == FailurePoint::NotSent)
             fail(self, "connect timed out");
     });
 }
 
+loop::TimeMs Client::connectTimeout() const
+{
+    if (slowestConnectMs_ < 0)
+        return connectTimeoutMs_;
+    const auto usualMs = static_cast<loop::TimeMs>(CONNECT_FACTOR * slowestConnectMs_);
+    return std::min(connectTimeoutMs_, std::max(SHORTEST_CONNECT_MS, usualMs));
+}
+
+void Client::noteConnected(loop::TimeMs tookMs)
+{
+    slowestConnectMs_ = std::max(static_cast<double>(tookMs), SLOWEST_DECAY * slowestConnectMs_);
+}
+
 loop::Connection::Ptr Client::takeIdle(const std::string& address, Reuse reuse)
 {
     const auto list = idle_.find(address);
@@ -119,10 +171,8 @@
     return nullptr;
 }
 
-void Client::park(const std::string& address, const Call& call, const loop::Connection::Ptr& connection)
+void Client::park(const std::string& address, loop::TimeMs limitMs, const loop::Connection::Ptr& connection)
 {
-    const auto statedMs = static_cast<loop::TimeMs>(static_cast<double>(call.idleLimitMs_) * IDLE_LIMIT_SHARE);
-    const loop::TimeMs limitMs = statedMs > 0 ? std::min(statedMs, MAX_IDLE_MS) : MAX_IDLE_MS;
     auto& list = idle_[address];
     if (list.size() >= MAX_IDLE_PER_ADDRESS)
         list.pop_front();
@@ -178,7 +228,8 @@
     call->reader_ = std::make_unique<MessageReader>(MessageReader::Kind::Response, limits_, std::move(readerHooks));
 
     loop::Connection::Hooks hooks;
-    hooks.onConnect = [weak] {
+    hooks.onConnect = [this, weak, begunAt = loop_.now()] {
+        noteConnected(loop_.now() - begunAt);
         if (const auto self = weak.lock())
             self->point_ = FailurePoint::Sent;
     };
@@ -215,7 +266,7 @@
     const auto connection = std::move(call->connection_);
     const bool isClean = connection && call->reader_->buffered() == 0 && connection->pendingOutput() == 0;
     if (isClean && call->keepAlive_ && connection->isOpen())
-        park(address, *call, connection);
+        park(address, idleLimitOf(call->idleLimitMs_), connection);
     else if (connection)
         connection->close();
     if (call->hooks_.onEnd)
--- a/src/goldcrestcleat/http/Client.h
+++ b/src/goldcrestcleat/http/Client.h
@@ -83,8 +83,14 @@
         const std::string& address, const Request& request, Call::Hooks hooks, Reuse reuse = Reuse::Allowed);
 
     /// Bounds the wait for a new connection; 0, the default, leaves it to the system.
+    ///
+    /// Once connections have opened, the wait is a multiple of the time that they took, never over the bound: whoever
+    /// has not answered by then is not there, or lost the first packet, which is sent again only after a second.
     void setConnectTimeout(loop::TimeMs timeoutMs) { connectTimeoutMs_ = timeoutMs; }
 
+    /// Opens a connection without a request and keeps it for the next one; tells whether it opened.
+    void open(const std::string& address, std::function<void(bool isOpen)> onDone);
+
     /// New connections that were opened.
     std::uint64_t opened() const { return opened_; }
 
@@ -102,8 +108,10 @@
         loop::TimeMs limitMs;
     };
 
+    loop::TimeMs connectTimeout() const;
+    void noteConnected(loop::TimeMs tookMs);
     loop::Connection::Ptr takeIdle(const std::string& address, Reuse reuse);
-    void park(const std::string& address, const Call& call, const loop::Connection::Ptr& connection);
+    void park(const std::string& address, loop::TimeMs limitMs, const loop::Connection::Ptr& connection);
     void boundConnect(const Call::Ptr& call);
     void bind(const Call::Ptr& call, const std::string& address, const std::string& bytes);
     void finish(const Call::Ptr& call, const std::string& address);
@@ -113,6 +121,7 @@
     Limits limits_;
     std::unordered_map<std::string, std::deque<Idle>> idle_;
     loop::TimeMs connectTimeoutMs_ = 0;
+    double slowestConnectMs_ = -1; // of late; negative before the first one
     std::uint64_t opened_ = 0;
     std::uint64_t bytesOut_ = 0;
     std::uint64_t bytesIn_ = 0;
--- a/src/goldcrestcleat/upstreams/ServerBook.cpp
+++ b/src/goldcrestcleat/upstreams/ServerBook.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-    // First time for which a server is avoided after a failed connection; doubled with each further one. A server that
-    // crashed is back after some seconds.
-    constexpr loop::TimeMs FIRST_AVOID_MS = 250;
-    constexpr int MAX_AVOID_DOUBLINGS = 4;
+    // Time after a failed connection until the next one; doubled with each further one. A server that crashed is back
+    // after some seconds.
+    constexpr loop::TimeMs FIRST_CHECK_MS = 250;
+    constexpr int MAX_CHECK_DOUBLINGS = 3;
 
     // A server is avoided when its share of failures is this many times that of its service, given enough outcomes.
     constexpr double SUSPECT_FACTOR = 2.5;
@@ -40,6 +40,8 @@
         server.peerOpen = reportedOpen(key);
         server.weighedAt = now;
     }
+    if (server.vanishedAt || server.entry.isLeaving)
+        server.unreachable = 0; // it is listed again, which says more than what was seen before
     server.key = key;
     server.entry = entry;
     server.vanishedAt.reset();
@@ -85,7 +87,7 @@
         if (server.entry.service != service || server.entry.isLeaving)
             continue;
         if (!server.vanishedAt || now < server.keptUntil)
-            (server.avoidUntil > now ? avoided : preferred).push_back(&server);
+            (server.isAvoided(now) ? avoided : preferred).push_back(&server);
         else if (isLastResort(server, now))
             lastResort.push_back(&server);
     }
@@ -137,6 +139,13 @@
     peerOpen_.erase(peer);
 }
 
+void ServerBook::onReached(NodeKey key)
+{
+    const auto found = servers_.find(key);
+    if (found != servers_.end())
+        found->second.unreachable = 0;
+}
+
 void ServerBook::record(NodeKey key, Outcome outcome, loop::TimeMs now)
 {
     const auto found = servers_.find(key);
@@ -144,9 +153,9 @@
         return;
     Server& server = found->second;
     if (outcome == Outcome::Unreachable) {
-        const int doublings = std::min(server.unreachable, MAX_AVOID_DOUBLINGS);
+        const int doublings = std::min(server.unreachable, MAX_CHECK_DOUBLINGS);
         ++server.unreachable;
-        server.avoidUntil = std::max(server.avoidUntil, now + (FIRST_AVOID_MS << doublings));
+        server.checkAt = now + (FIRST_CHECK_MS << doublings);
         return;
     }
     server.unreachable = 0;
--- a/src/goldcrestcleat/upstreams/ServerBook.h
+++ b/src/goldcrestcleat/upstreams/ServerBook.h
@@ -40,13 +40,15 @@
     double bad = 0; ///< failures, each worth half as much after HEALTH_HALF_LIFE_MS
     double total = 0; ///< all outcomes, weighted likewise
     loop::TimeMs weighedAt = 0;
-    int unreachable = 0; ///< connections that failed in a row
+    int unreachable = 0; ///< connections that failed since one opened
     loop::TimeMs avoidUntil = 0; ///< gets no work before this time if another server can take it
+    loop::TimeMs checkAt = 0; ///< when to look whether an unreachable server is back
     std::optional<loop::TimeMs> vanishedAt; ///< when its entry vanished
     loop::TimeMs keptUntil = 0; ///< until then a vanished server is used like the others
     bool mayHaveLapsed = false; ///< a vanished server that may still be there
 
     int load() const { return ownOpen + peerOpen; }
+    bool isAvoided(loop::TimeMs now) const { return avoidUntil > now || unreachable > 0; }
 };
 
 /// What is known when entries vanish from the list of servers.
@@ -82,6 +84,8 @@
     std::function<bool()> isStoreAway;
 
     /// Returns the servers of a service that may take new work, in key order. Complexity: O(servers of the service).
+    ///
+    /// A server that could not be reached is left out until a connection has opened, if there are others.
     std::vector<const Server*> usable(const std::string& service, loop::TimeMs now) const;
 
     /// Returns a server that is listed, or null.
@@ -97,6 +101,9 @@
     /// Forgets a peer whose link went down.
     void forgetPeer(routing::NodeKey peer);
 
+    /// Records that a connection to a server opened again.
+    void onReached(routing::NodeKey key);
+
     /// Records how a request ended; a server that fails more often than its service as a whole is avoided for a time.
     void record(routing::NodeKey key, Outcome outcome, loop::TimeMs now);
 
--- /dev/null
+++ b/tests/unit/server_checks_test.cpp
@@ -0,0 +1,82 @@
+#include "goldcrestcleat/upstreams/ServerChecks.h"
+
+#include "goldcrestcleat/http/Server.h"
+
+#include <criterion/criterion.h>
+
+using namespace goldcrestcleat;
+using upstreams::Outcome;
+
+namespace {
+
+constexpr loop::TimeMs CONNECT_TIMEOUT_MS = 100;
+
+std::unique_ptr<http::Server> listenAt(loop::EventLoop& loop, const std::string& address)
+{
+    return std::make_unique<http::Server>(
+        loop, address, http::Limits(), http::ServerTimeouts(),
+        [](const http::Exchange::Ptr& exchange) { exchange->reply(200, {}, ""); },
+        [](const http::Exchange::Ptr&, errors::ResultCode, const std::string&) {});
+}
+
+} // namespace
+
+Test(server_checks, a_lost_server_is_used_again_once_a_connection_opens)
+{
+    loop::EventLoop loop;
+    http::Client client(loop, http::Limits());
+    client.setConnectTimeout(CONNECT_TIMEOUT_MS);
+    upstreams::ServerBook servers;
+    const observe::Log log("vm1", "error");
+    upstreams::ServerChecks checks(loop, client, servers, log);
+
+    auto server = listenAt(loop, "127.0.0.1:0");
+    const std::string address = server->address();
+    server.reset();
+    upstreams::ServerEntry entry;
+    entry.id = "a";
+    entry.service = "s";
+    entry.address = address;
+    servers.put(entry, loop.now());
+    const auto key = routing::nodeKey("a");
+    servers.record(key, Outcome::Unreachable, loop.now());
+    checks.watch(key);
+    checks.watch(key); // a second failure meanwhile changes nothing
+
+    int failuresSeen = 0;
+    loop.after(500, [&] {
+        failuresSeen = servers.find(key)->unreachable;
+        server = listenAt(loop, address);
+    });
+    loop.every(20, [&] {
+        if (servers.find(key)->unreachable == 0)
+            loop.stop();
+    });
+    loop.after(5'000, [&] { loop.stop(); });
+    loop.run();
+    cr_assert_gt(failuresSeen, 1, "it was looked for while it was away");
+    cr_assert_eq(servers.find(key)->unreachable, 0);
+    const auto opened = client.opened();
+    const auto call = client.start(address, http::Request(), http::Call::Hooks());
+    cr_assert_eq(client.opened(), opened, "the connection of the check serves the next request");
+}
+
+Test(server_checks, a_server_that_is_gone_is_not_looked_for)
+{
+    loop::EventLoop loop;
+    http::Client client(loop, http::Limits());
+    client.setConnectTimeout(CONNECT_TIMEOUT_MS);
+    upstreams::ServerBook servers;
+    const observe::Log log("vm1", "error");
+    upstreams::ServerChecks checks(loop, client, servers, log);
+    upstreams::ServerEntry entry;
+    entry.id = "a";
+    entry.address = "127.0.0.1:1";
+    servers.put(entry, loop.now());
+    servers.record(routing::nodeKey("a"), Outcome::Unreachable, loop.now());
+    checks.watch(routing::nodeKey("a"));
+    servers.remove("a");
+    loop.after(600, [&] { loop.stop(); });
+    loop.run();
+    cr_assert_eq(client.opened(), 0);
+}
