Look after silent servers, tell peers of lost ones, and move waiting requests away from them

What was changed: after half of the goal (of the longest pause, within a stream) without a sign of the server, the daemon opens a bare connection to it, at most once a second. If that fails, the server is lost: repeatable requests that wait there go on elsewhere at once, and the peers are told, each of which looks for itself. Neither silence nor a peer's report decides. Tests: server_checks_test (a suspicion decides nothing by itself), forward_request_test (suspected once; moves only when lost; a request that must not repeat stays).

--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -65,10 +65,13 @@
         , serversWatch_(loop_, store_, ports_.serversTable,
               watchHooks(ports_.serversTable, [this](const Rows& rows) { onServerRows(rows); }))
         , checks_(loop_, client_, servers_, log_)
-        , membership_(loop_, settings_, log_, store_, servers_, quarantine_, { [this] { updateBudget(); } })
+        , membership_(loop_, settings_, log_, store_, servers_, quarantine_,
+              { [this] { updateBudget(); },
+                  [this](routing::NodeKey server) { checks_.suspect(server, Source::Peer); } })
         , requests_ { loop_, client_, metrics_, quarantine_, {}, nullptr }
         , env_ { requests_, settings_, log_, servers_, retryBudget_, contexts_, ports_.dialect, random_,
             [this] { return routes_; }, [this](routing::NodeKey server) { onServerUnreachable(server); },
+            [this](routing::NodeKey server) { checks_.suspect(server, Source::Own); },
             [this](routing::NodeKey server, admission::Fingerprint fingerprint, std::uint64_t crashId) {
                 crashEvidence_.onBroken(server, fingerprint, crashId, loop_.now());
             },
@@ -99,6 +102,7 @@
 
 private:
     using Rows = std::vector<store::VersionedRow>;
+    using Source = upstreams::ServerChecks::Source;
 
     store::TableWatcher::Hooks watchHooks(const std::string& table, std::function<void(const Rows&)> onRows)
     {
@@ -117,6 +121,7 @@
             metrics_.onTurn(static_cast<double>(lateMs), static_cast<double>(tookMs));
         };
         loop_.onSlowTurn = [this](loop::TimeMs tookMs) { log_.decision("loop-slow", { { "ms", tookMs } }); };
+        checks_.onLost = [this](routing::NodeKey server, Source source) { onServerLost(server, source); };
         servers_.isStoreAway = [this] { return isStoreAway(); };
         requests_.onFinished = [this](const forwarding::Summary& summary) {
             second_.add(summary.kind, summary.code, summary.firstAnswerMs);
@@ -214,6 +219,17 @@
         checks_.watch(server);
     }
 
+    void onServerLost(routing::NodeKey server, Source source)
+    {
+        if (source == Source::Own) // a peer has told all others itself
+            membership_.reportLost(server);
+        const auto open = requests_.open;
+        for (const auto& request : open) {
+            if (request->server() == server)
+                request->onServerLost();
+        }
+    }
+
     void onServerEnded(routing::NodeKey server)
     {
         for (const auto& suspicion : crashEvidence_.onEnded(server, loop_.now()))
--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -315,6 +315,9 @@
     } else if (const auto* forgiven = std::get_if<Forgiven>(&message)) {
         for (const auto fingerprint : forgiven->fingerprints)
             quarantine_.forgive(fingerprint);
+    } else if (const auto* lost = std::get_if<LostServers>(&message)) {
+        for (const auto server : lost->servers)
+            hooks_.onServerLost(server);
     } else if (const auto* ask = std::get_if<MirrorAsk>(&message)) {
         answerMirrorAsk(peer, *ask);
     } else if (const auto* rows = std::get_if<MirrorRows>(&message)) {
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -28,6 +28,7 @@
 
     struct Hooks {
         std::function<void()> onPeersChanged; ///< a peer came, left or changed its state
+        std::function<void(routing::NodeKey server)> onServerLost; ///< a peer can't reach a server any more
     };
 
     Membership(loop::EventLoop& loop, const settings::FrontSettings& settings, const observe::Log& log,
@@ -44,6 +45,9 @@
     void setReady(bool isReady);
     void beginLeaving();
 
+    /// Tells the peers that a server can't be reached any more.
+    void reportLost(routing::NodeKey server) { links_.broadcast(LostServers { { server } }); }
+
     /// Records a crash here and at the peers.
     void report(const admission::Suspicion& suspicion);
 
--- a/src/goldcrestcleat/fleet/PeerMessages.cpp
+++ b/src/goldcrestcleat/fleet/PeerMessages.cpp
@@ -95,6 +95,8 @@
 
     json toArray(const Forgiven& m) { return json::array({ m.fingerprints }); }
 
+    json toArray(const LostServers& m) { return json::array({ m.servers }); }
+
     json toArray(const MirrorAsk& m) { return { m.table, m.afterVersion }; }
 
     json toArray(const MirrorRows& m)
@@ -258,6 +260,8 @@
             return readMirrorRows(a);
         case 16:
             return Forgiven { a.at(1).get<std::vector<admission::Fingerprint>>() };
+        case 17:
+            return LostServers { a.at(1).get<std::vector<routing::NodeKey>>() };
         default:
             throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, "unknown message type");
         }
@@ -288,7 +292,7 @@
 {
     static constexpr std::array<const char*, std::variant_size_v<PeerMessage>> names
         = { "hello", "proof", "ask", "verdict", "release", "held", "roster", "loads", "move", "remember", "suspects",
-              "status", "config", "server-loads", "mirror-ask", "mirror-rows", "forgiven" };
+              "status", "config", "server-loads", "mirror-ask", "mirror-rows", "forgiven", "lost-servers" };
     return names[message.index()];
 }
 
--- a/src/goldcrestcleat/fleet/PeerMessages.h
+++ b/src/goldcrestcleat/fleet/PeerMessages.h
@@ -138,8 +138,13 @@
     std::vector<admission::Fingerprint> fingerprints;
 };
 
+/// Servers that the sender could not reach any more.
+struct LostServers {
+    std::vector<routing::NodeKey> servers;
+};
+
 using PeerMessage = std::variant<Hello, Proof, Ask, Verdict, Release, Held, Roster, Loads, Move, Remember, Suspects,
-    Status, ConfigItems, ServerLoads, MirrorAsk, MirrorRows, Forgiven>;
+    Status, ConfigItems, ServerLoads, MirrorAsk, MirrorRows, Forgiven, LostServers>;
 
 /// Upper size of an encoded message, in bytes.
 constexpr std::size_t MAX_PEER_MESSAGE_BYTES = 1024 * 1024;
--- a/src/goldcrestcleat/forwarding/ForwardRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardRequest.cpp
@@ -181,22 +181,32 @@
 {
     const loop::TimeMs sinceMs = env_.loop.now() - lastProgressAt_;
     lastProgressAt_ = env_.loop.now();
+    attempt_.isSuspected = false;
     if (attempt_.hasBody) {
         longestPauseMs_ = std::max(longestPauseMs_, sinceMs);
         return;
     }
     attempt_.hasBody = true;
-    if (plan_.pauseMs < plan_.firstAnswerMs)
+    if (plan_.pauseMs < plan_.firstAnswerMs || plan_.suspectPauseMs < plan_.suspectAfterMs)
         armProgressTimer(); // it is due earlier than before
 }
 
+/// Returns the silence after which the server is looked after; 0 when it is already, or never.
+loop::TimeMs ForwardRequest::suspicionMs() const
+{
+    if (attempt_.isSuspected || !hooks_.suspect)
+        return 0;
+    return attempt_.hasBody ? plan_.suspectPauseMs : plan_.suspectAfterMs;
+}
+
 /// An armed timer is not moved with each part of an answer but looks again when it is due.
 void ForwardRequest::armProgressTimer()
 {
-    if (plan_.firstAnswerMs == 0)
+    const loop::TimeMs silenceMs = suspicionMs() > 0 ? suspicionMs() : allowanceMs();
+    if (silenceMs == 0)
         return;
     env_.loop.cancel(progressTimer_);
-    const loop::TimeMs dueInMs = lastProgressAt_ + allowanceMs() - env_.loop.now();
+    const loop::TimeMs dueInMs = lastProgressAt_ + silenceMs - env_.loop.now();
     progressTimer_ = env_.loop.after(std::max<loop::TimeMs>(dueInMs, 1), [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->onProgressDue();
@@ -210,10 +220,17 @@
         return;
     if (isCallerSlow_)
         lastProgressAt_ = env_.loop.now();
-    if (env_.loop.now() - lastProgressAt_ < allowanceMs())
-        armProgressTimer();
-    else
+    const loop::TimeMs silentMs = env_.loop.now() - lastProgressAt_;
+    if (suspicionMs() > 0 && silentMs >= suspicionMs()) {
+        attempt_.isSuspected = true;
+        hooks_.suspect(attempt_.placement);
+    }
+    if (isEnded_ || !attempt_.call)
+        return;
+    if (allowanceMs() > 0 && silentMs >= allowanceMs())
         onNoProgress();
+    else
+        armProgressTimer();
 }
 
 /// A server that may still answer is left alone when the request could not be sent to another one, also for want of a
@@ -224,18 +241,27 @@
         onUnreachable("no connection in time");
         return;
     }
-    const bool hasAnotherRun = plan_.mayRepeat && maybeRan_ + 1 < plan_.attempts;
-    hasRetry_ = !plan_.isSilenceFinal && hasAnotherRun && hooks_.tryRetry();
+    hasRetry_ = !plan_.isSilenceFinal && hasAnotherRun() && hooks_.tryRetry();
     if (hasRetry_ || plan_.isSilenceFinal) {
         onBroken(FailureKind::Silence, "no progress");
         return;
     }
-    if (hasAnotherRun) {
+    if (hasAnotherRun()) {
         lastProgressAt_ = env_.loop.now(); // the budget may have grown by then
         armProgressTimer();
     }
 }
 
+void ForwardRequest::onServerLost()
+{
+    // A connection that is still opening has a limit of its own.
+    if (isEnded_ || !attempt_.call || !attempt_.call->isConnected())
+        return;
+    hasRetry_ = hasAnotherRun() && hooks_.tryRetry();
+    if (hasRetry_)
+        onBroken(FailureKind::Silence, "server lost");
+}
+
 void ForwardRequest::onTimeUp()
 {
     limitTimer_ = 0;
--- a/src/goldcrestcleat/forwarding/ForwardRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardRequest.h
@@ -41,6 +41,9 @@
 
     loop::TimeMs arrivedAt() const { return exchange_->arrivedAt(); }
 
+    /// Goes on at another server, if it may, since the one that runs it can't be reached any more.
+    void onServerLost();
+
     /// Goes on at a less loaded server, if there is one that takes the request at once.
     void moveAway();
 
@@ -53,6 +56,7 @@
         http::Call::Ptr call;
         AnswerHead head;
         bool hasBody = false;
+        bool isSuspected = false; ///< its server is being looked after for its silence
         EventReader events;
         std::string body; ///< of an answer that is not a stream
         loop::TimeMs sentAt = 0;
@@ -94,6 +98,8 @@
     void onTimeUp();
     loop::TimeMs remainingMs() const;
     loop::TimeMs allowanceMs() const { return attempt_.hasBody ? plan_.pauseMs : plan_.firstAnswerMs; }
+    loop::TimeMs suspicionMs() const;
+    bool hasAnotherRun() const { return plan_.mayRepeat && maybeRan_ + 1 < plan_.attempts; }
 
     // The end.
     void stopCall();
--- a/src/goldcrestcleat/forwarding/RequestHooks.h
+++ b/src/goldcrestcleat/forwarding/RequestHooks.h
@@ -31,6 +31,8 @@
     bool isLimitFinal = true; ///< the answer has to end by then too
     loop::TimeMs firstAnswerMs = 0; ///< a server that is silent for so long is given up; 0 for never
     loop::TimeMs pauseMs = 0; ///< the same between two parts of an answer
+    loop::TimeMs suspectAfterMs = 0; ///< silence after which the server is looked after; 0 for never
+    loop::TimeMs suspectPauseMs = 0; ///< the same between two parts of an answer
     bool isAttemptTimed = false; ///< `firstAnswerMs` bounds the whole of an answer that is no stream
     bool isSilenceFinal = false; ///< silence ends the request also when it may not be sent again
     http::Client::Reuse firstReuse = http::Client::Reuse::Allowed; ///< of its first send; later ones are fresh
@@ -137,6 +139,7 @@
     std::function<void(OpenedHook)> open; ///< obtains what must be held before the first send, or answers itself
     std::function<void()> stopPlacing; ///< `place` need not answer any more
     std::function<void(const Placement& from, PlacedHook)> findBetter; ///< looks for a less loaded server
+    std::function<void(const Placement&)> suspect; ///< the server has been silent for a while
 
     // Servers.
     std::function<void(const Progress&, PlacedHook)> place; ///< answers at once or later
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -24,6 +24,11 @@
     constexpr loop::TimeMs NEXT_EVENT_PAUSES = 3;
     constexpr loop::TimeMs SHORTEST_ALLOWANCE_MS = 250;
 
+    // Silence after which a server is looked after: this part of the time within which an answer earns its full credit,
+    // so that some of it is left for another server. Never less than a busy server's usual pauses.
+    constexpr loop::TimeMs SUSPECT_DIVISOR = 2;
+    constexpr loop::TimeMs SHORTEST_SUSPICION_MS = 100;
+
     constexpr int FIRST_FAILURE_STATUS = 500; // servers answer so when they failed
 
     constexpr loop::TimeMs RETRY_AFTER_MS = 300;
@@ -103,6 +108,8 @@
         // A connection that the server may have closed for idleness must not carry what can't be repeated.
         plan.firstReuse = http::Client::Reuse::Recent;
     }
+    plan.suspectAfterMs = std::max(route_->goalMs / SUSPECT_DIVISOR, SHORTEST_SUSPICION_MS);
+    plan.suspectPauseMs = std::max(route_->maxPauseMs / SUSPECT_DIVISOR, SHORTEST_SUSPICION_MS);
     plan.fingerprint = fingerprint_;
     return plan;
 }
@@ -128,6 +135,7 @@
         onBroken(failure);
         onJudged(NextServer::Another);
     };
+    hooks.suspect = [this](const Placement& placement) { env_.reportSilent(placement.server); };
     hooks.tryRetry = [this] { return env_.retryBudget.tryTake(service_, env_.requests.loop.now()); };
     hooks.encode = [this](const Placement& placement, const Progress& progress) { return encode(placement, progress); };
     hooks.isOwn
--- a/src/goldcrestcleat/forwarding/RoutedCall.h
+++ b/src/goldcrestcleat/forwarding/RoutedCall.h
@@ -26,6 +26,7 @@
     std::mt19937_64& random;
     std::function<routes::RouteBook::Ptr()> routes; ///< newest configuration; null before the first
     std::function<void(routing::NodeKey server)> reportUnreachable; ///< no connection could be opened
+    std::function<void(routing::NodeKey server)> reportSilent; ///< it keeps a request waiting
     std::function<void(routing::NodeKey server, admission::Fingerprint, std::uint64_t crashId)> reportBroken;
     std::function<void(admission::Fingerprint)> forgive; ///< after a whole answer
 };
--- a/src/goldcrestcleat/upstreams/ServerChecks.cpp
+++ b/src/goldcrestcleat/upstreams/ServerChecks.cpp
@@ -14,14 +14,33 @@
 {
 }
 
-void ServerChecks::watch(NodeKey key)
+void ServerChecks::watch(NodeKey key, Source source)
 {
     const auto* server = servers_.find(key);
     if (!server || !watched_.insert(key).second)
         return;
-    if (server->unreachable == 1)
-        log_.decision("server-lost", { { "server", server->entry.id }, { "address", server->entry.address } });
     loop_.after(std::max<loop::TimeMs>(server->checkAt - loop_.now(), 0), [this, key] { check(key); });
+    if (server->unreachable != 1)
+        return;
+    log_.decision("server-lost", { { "server", server->entry.id }, { "address", server->entry.address } });
+    if (onLost)
+        onLost(key, source);
+}
+
+void ServerChecks::suspect(NodeKey key, Source source)
+{
+    const auto* server = servers_.find(key);
+    if (!server || server->unreachable > 0)
+        return;
+    const auto last = suspectedAt_.find(key);
+    if (last != suspectedAt_.end() && loop_.now() - last->second < SUSPECT_PERIOD_MS)
+        return;
+    suspectedAt_[key] = loop_.now();
+    client_.open(server->entry.address, [this, key, source](bool isOpen) {
+        if (!isOpen)
+            onFailed(key, source);
+    });
+    dropOldSuspicions();
 }
 
 // ---- private ----
@@ -41,8 +60,7 @@
 {
     watched_.erase(key);
     if (!isOpen) {
-        servers_.record(key, Outcome::Unreachable, loop_.now());
-        watch(key);
+        onFailed(key, Source::Own);
         return;
     }
     servers_.onReached(key);
@@ -50,4 +68,16 @@
         log_.decision("server-regained", { { "server", server->entry.id } });
 }
 
+void ServerChecks::onFailed(NodeKey key, Source source)
+{
+    servers_.record(key, Outcome::Unreachable, loop_.now());
+    watch(key, source);
+}
+
+void ServerChecks::dropOldSuspicions()
+{
+    for (auto it = suspectedAt_.begin(); it != suspectedAt_.end();)
+        it = loop_.now() - it->second < SUSPECT_PERIOD_MS ? std::next(it) : suspectedAt_.erase(it);
+}
+
 } // namespace goldcrestcleat::upstreams
--- a/tests/unit/LifeCycle.h
+++ b/tests/unit/LifeCycle.h
@@ -37,6 +37,7 @@
     std::optional<forwarding::Ending> ending;
     std::optional<forwarding::Summary> summary;
     std::vector<FailureKind> failures;
+    std::vector<std::string> suspected;
     bool wasPlacingStopped = false;
     int callerStatus = 0;
     int callerAnswers = 0; // that were whole
@@ -107,6 +108,7 @@
     NextServer judgement = NextServer::Another;
     int retries = 10; // budget
     bool placesLater = false; // never answers
+    bool losesSuspects = false; // a server that is suspected is found to be lost
 
 private:
     void onCall(const http::Exchange::Ptr& exchange)
@@ -128,6 +130,12 @@
             story.failures.push_back(failure.kind);
             done(judgement);
         };
+        hooks.suspect = [this](const Placement& placement) {
+            story.suspected.push_back(placement.serverId);
+            if (losesSuspects)
+                for (const auto& request : std::set<forwarding::ForwardRequest::Ptr>(env_.open))
+                    request->onServerLost();
+        };
         hooks.tryRetry = [this] { return retries-- > 0; };
         hooks.encode = [this](const Placement& placement, const forwarding::Progress&) {
             story.sentTo.push_back(placement.serverId);
--- a/tests/unit/forward_request_test.cpp
+++ b/tests/unit/forward_request_test.cpp
@@ -122,6 +122,42 @@
     expectAllReleased(story);
 }
 
+Test(forward_request, a_silent_server_is_suspected_once_and_keeps_the_request_unless_it_is_lost)
+{
+    for (const bool isLost : { false, true }) {
+        loop::EventLoop eventLoop;
+        LifeCycle life(eventLoop);
+        life.losesSuspects = isLost;
+        life.plan.mayRepeat = true;
+        life.plan.attempts = 2;
+        life.plan.firstAnswerMs = life.plan.pauseMs = 5 * SILENCE_MS;
+        life.plan.suspectAfterMs = life.plan.suspectPauseMs = SILENCE_MS;
+        life.addServer("slow", [&](const http::Exchange::Ptr& exchange) {
+            life.loop.after(3 * SILENCE_MS, [exchange] { answer(exchange); });
+        });
+        life.addServer("good", answer);
+        const Story story = life.play();
+        cr_assert((story.suspected == Names { "slow" }));
+        cr_assert((story.sentTo == (isLost ? Names { "slow", "good" } : Names { "slow" })));
+        cr_assert_eq(story.callerStatus, 200);
+        expectAllReleased(story);
+    }
+}
+
+Test(forward_request, a_request_that_must_not_repeat_stays_at_a_lost_server)
+{
+    loop::EventLoop eventLoop;
+    LifeCycle life(eventLoop);
+    life.losesSuspects = true;
+    life.plan.suspectAfterMs = SILENCE_MS;
+    life.addServer("silent", [](const http::Exchange::Ptr&) {});
+    life.addServer("good", answer);
+    const Story story = life.play();
+    cr_assert((story.suspected == Names { "silent" }), "its silence counts for the others");
+    cr_assert((story.sentTo == Names { "silent" }));
+    cr_assert(story.ending && story.ending->maybeRan == 1);
+}
+
 Test(forward_request, the_limit_ends_a_request_that_may_still_run)
 {
     loop::EventLoop eventLoop;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -50,7 +50,7 @@
     upstreams::ServerBook servers;
     admission::Quarantine quarantine;
     int changes = 0;
-    fleet::Membership membership(loop, settings, log, port, servers, quarantine, { [&] { ++changes; } });
+    fleet::Membership membership(loop, settings, log, port, servers, quarantine, { [&] { ++changes; }, nullptr });
     loop.after(50, [&] { loop.stop(); });
     membership.start();
     loop.run();
@@ -68,7 +68,7 @@
     const auto port = storeWith(rows);
     upstreams::ServerBook servers;
     admission::Quarantine quarantine;
-    fleet::Membership membership(loop, settings, log, port, servers, quarantine, { [] {} });
+    fleet::Membership membership(loop, settings, log, port, servers, quarantine, { [] {}, nullptr });
     loop.after(50, [&] { loop.stop(); });
     membership.start();
     loop.run();
@@ -136,7 +136,8 @@
     upstreams::ServerBook servers;
     admission::Quarantine quarantine;
     int changes = 0;
-    fleet::Membership membership(loop, settings, log, port, servers, quarantine, { [&] { ++changes; } }, RENEWAL_MS);
+    fleet::Membership membership(
+        loop, settings, log, port, servers, quarantine, { [&] { ++changes; }, nullptr }, RENEWAL_MS);
     loop.every(RENEWAL_MS / 2, [&] { rows.write("vm/kept", memberRow("kept").value); });
     loop.after(20 * RENEWAL_MS, [&] { loop.stop(); });
     membership.start();
@@ -158,7 +159,7 @@
     const auto port = rows.port();
     upstreams::ServerBook servers;
     admission::Quarantine quarantine;
-    fleet::Membership membership(loop, settings, log, port, servers, quarantine, { [] {} }, RENEWAL_MS);
+    fleet::Membership membership(loop, settings, log, port, servers, quarantine, { [] {}, nullptr }, RENEWAL_MS);
     bool wasThere = false;
     loop.after(RENEWAL_MS, [&] { wasThere = rows.rows.erase("vm/vm1") > 0; });
     loop.after(6 * RENEWAL_MS, [&] { loop.stop(); });
--- a/tests/unit/peer_messages_test.cpp
+++ b/tests/unit/peer_messages_test.cpp
@@ -28,6 +28,7 @@
         MirrorAsk { "servers", 12 },
         MirrorRows { "servers", 12, 1500, { false, 14, { { "a", "x", 13, false }, { "b", "", 14, true } } } },
         Forgiven { { 1, 0xffffffffffffffffULL } },
+        LostServers { { 7, 0xffffffffU } },
         ConfigItems { { { "profile", "quick", 3, { { "priority", 1 } } } } },
     };
 }
--- a/tests/unit/server_checks_test.cpp
+++ b/tests/unit/server_checks_test.cpp
@@ -80,3 +80,37 @@
     loop.run();
     cr_assert_eq(client.opened(), 0);
 }
+
+Test(server_checks, a_suspicion_makes_the_daemon_look_and_decides_nothing_by_itself)
+{
+    using Source = upstreams::ServerChecks::Source;
+    loop::EventLoop loop;
+    http::Client client(loop, http::Limits());
+    client.setConnectTimeout(CONNECT_TIMEOUT_MS);
+    upstreams::ServerBook servers;
+    const observe::Log log("vm1", "error");
+    upstreams::ServerChecks checks(loop, client, servers, log);
+    const auto good = listenAt(loop, "127.0.0.1:0");
+    auto bad = listenAt(loop, "127.0.0.1:0");
+    for (const auto& [id, address] :
+        { std::make_pair("good", good->address()), std::make_pair("bad", bad->address()) }) {
+        upstreams::ServerEntry entry;
+        entry.id = id;
+        entry.service = "s";
+        entry.address = address;
+        servers.put(entry, loop.now());
+    }
+    bad.reset();
+    std::vector<std::pair<routing::NodeKey, Source>> lost;
+    checks.onLost = [&](routing::NodeKey server, Source source) { lost.emplace_back(server, source); };
+    for (int i = 0; i < 3; ++i) {
+        checks.suspect(routing::nodeKey("good"), Source::Peer);
+        checks.suspect(routing::nodeKey("bad"), Source::Peer);
+    }
+    loop.after(150, [&] { loop.stop(); });
+    loop.run();
+    cr_assert_eq(client.opened(), 2, "one look each, however often it is reported");
+    cr_assert_eq(lost.size(), 1);
+    cr_assert(lost[0].first == routing::nodeKey("bad") && lost[0].second == Source::Peer);
+    cr_assert_eq(servers.usable("s", loop.now()).size(), 1);
+}
