Bound what daemons tell each other of loads, whatever the size of the fleet

Ruled out: tickets from homes, which cost a round trip a request; loads by the headers of answers, of which a daemon hears one a server in a minute at that size. What was changed: a daemon sends at most 150 messages of loads a second, to its peers by turns, each with all that it has open, so that nothing depends on an earlier one; the time after which a silent peer counts as dead grows with it. At most 20 links are dialled in half a second. A message for many is encoded once. A peer's report of a lost server is looked after only where own requests wait. Tests: server_book_test (a peer's loads replace the earlier ones), membership_test (messages a second stay under 160 up to 329 peers).

--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -66,8 +66,7 @@
               watchHooks(ports_.serversTable, [this](const Rows& rows) { onServerRows(rows); }))
         , checks_(loop_, client_, servers_, log_)
         , membership_(loop_, settings_, log_, store_, servers_, quarantine_,
-              { [this] { updateBudget(); },
-                  [this](routing::NodeKey server) { checks_.suspect(server, Source::Peer); } })
+              { [this] { updateBudget(); }, [this](routing::NodeKey server) { onPeerLostServer(server); } })
         , requests_ { loop_, client_, metrics_, quarantine_, {}, nullptr }
         , env_ { requests_, settings_, log_, servers_, retryBudget_, contexts_, ports_.dialect, random_,
             [this] { return routes_; }, [this](routing::NodeKey server) { onServerUnreachable(server); },
@@ -219,6 +218,14 @@
         checks_.watch(server);
     }
 
+    /// Looks for itself, if requests of its own wait there; else it will find out when one is to be sent there.
+    void onPeerLostServer(routing::NodeKey key)
+    {
+        const auto* server = servers_.find(key);
+        if (server && server->ownOpen > 0)
+            checks_.suspect(key, Source::Peer);
+    }
+
     void onServerLost(routing::NodeKey server, Source source)
     {
         if (source == Source::Own) // a peer has told all others itself
--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -20,8 +20,14 @@
 
     constexpr loop::TimeMs JOIN_RETRY_MS = 500;
     constexpr loop::TimeMs PEER_SILENCE_MS = 1'000; // a dead peer is left out of entry answers after this
-    constexpr loop::TimeMs LOADS_PERIOD_MS = 100;
-    constexpr loop::TimeMs HEARTBEAT_MS = 300; // when no load has changed; a third of the silence
+    constexpr loop::TimeMs TICK_MS = 100; // shortest time between two messages of loads to a peer
+    constexpr loop::TimeMs HEARTBEAT_MS = 300; // the same while no request is open; a third of the silence
+    constexpr loop::TimeMs PERIODS_TO_SILENCE = 3;
+
+    // Messages of loads that a daemon sends in a second, to all peers together: its control traffic stays the same from
+    // here on, and each peer hears of it less often.
+    constexpr loop::TimeMs LOADS_PER_S = 150;
+    constexpr loop::TimeMs MS_PER_S = 1'000;
     constexpr loop::TimeMs REPAIR_PERIOD_MS = 400; // a fifth of the shortest bound on configuration
 
     constexpr std::size_t LEADERS = 2; // daemons that watch each table; one may fail without a delay
@@ -215,7 +221,7 @@
     linksOpen_ = true;
     log_.info("joined", { { "peers", links_.peers().size() } });
     links_.start();
-    loop_.every(LOADS_PERIOD_MS, [this] { sendLoads(); });
+    loop_.every(TICK_MS, [this] { sendLoads(); });
     loop_.every(REPAIR_PERIOD_MS, [this] { repairTables(); });
     renewLater();
 }
@@ -355,28 +361,32 @@
     links_.send(peer, roster);
 }
 
-/// Sends the loads that changed; none at all once in a while, as a heartbeat.
+loop::TimeMs Membership::loadsPeriodMs(std::size_t peers)
+{
+    return std::max(TICK_MS, static_cast<loop::TimeMs>(peers) * MS_PER_S / LOADS_PER_S);
+}
+
+/// Sends the own loads to the peers whose turn it is.
 void Membership::sendLoads()
 {
-    std::map<NodeKey, int> current;
-    for (const auto& [server, open] : servers_.ownOpen())
-        current[server] = open;
     updateLeading();
-    ServerLoads loads = emptyLoads();
-    for (const auto& [server, open] : current) {
-        const auto told = toldLoads_.find(server);
-        if (told == toldLoads_.end() || told->second != open)
-            loads.open.emplace_back(server, open);
-    }
-    for (const auto& [server, open] : toldLoads_) {
-        if (current.count(server) == 0)
-            loads.open.emplace_back(server, 0);
-    }
-    if (loads.open.empty() && loop_.now() - toldAt_ < HEARTBEAT_MS)
+    const auto peers = links_.peers();
+    if (peers.empty())
         return;
-    toldLoads_ = std::move(current);
-    toldAt_ = loop_.now();
-    links_.broadcast(loads);
+    ServerLoads loads = emptyLoads();
+    loads.open = servers_.ownOpen();
+    loop::TimeMs periodMs = loadsPeriodMs(peers.size());
+    identity_.timeouts.peerSilenceMs = std::max(PEER_SILENCE_MS, PERIODS_TO_SILENCE * periodMs);
+    if (!loads.open.empty())
+        busyAt_ = loop_.now();
+    else if (loop_.now() - busyAt_ > periodMs) // all peers know that nothing is open
+        periodMs = std::max(periodMs, HEARTBEAT_MS);
+    turns_ += static_cast<double>(peers.size()) * static_cast<double>(TICK_MS) / static_cast<double>(periodMs);
+    std::vector<NodeKey> due;
+    for (; turns_ >= 1 && due.size() < peers.size(); --turns_)
+        due.push_back(peers[nextTold_++ % peers.size()]->key);
+    turns_ = std::min(turns_, 1.0);
+    links_.sendToEach(due, loads);
 }
 
 ServerLoads Membership::emptyLoads() const
@@ -390,8 +400,7 @@
 
 void Membership::onLoads(const Peer& peer, const ServerLoads& loads)
 {
-    for (const auto& [server, open] : loads.open)
-        servers_.setPeerOpen(peer.key, server, open);
+    servers_.setPeerLoads(peer.key, loads.open);
     peerReachesStore_[peer.key] = loads.storeAnswers;
     std::size_t index = 0;
     for (auto& [table, shared] : shared_) {
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -60,6 +60,9 @@
     /// True when a peer that is up reports that the store does not answer it.
     bool hasPeerWithoutStore() const;
 
+    /// Returns the time between two messages of loads to a peer.
+    static loop::TimeMs loadsPeriodMs(std::size_t peers);
+
     /// Number of daemons that are known, this one among them. Those that can't be reached count: they may be serving
     /// their own callers, and what all share must be divided by all.
     int size() const;
@@ -121,8 +124,9 @@
     PeerLinks links_;
     std::map<std::string, Shared> shared_; // by table
     std::map<routing::NodeKey, bool> peerReachesStore_;
-    std::map<routing::NodeKey, int> toldLoads_;
-    loop::TimeMs toldAt_ = 0;
+    std::size_t nextTold_ = 0; // rotates over the peers
+    double turns_ = 0; // peers that are due to hear the loads
+    loop::TimeMs busyAt_ = 0; // when requests were open last
     std::size_t nextAsked_ = 0; // rotates over the peers
     std::map<std::string, Renewals> renewals_; // by key of the row
     const loop::TimeMs renewalMs_;
--- a/src/goldcrestcleat/fleet/PeerLinks.cpp
+++ b/src/goldcrestcleat/fleet/PeerLinks.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr loop::TimeMs DIAL_PERIOD_MS = 500;
+    constexpr int MAX_DIALS_PER_PERIOD = 20; // a proof takes some tenths of a ms at both ends; links open by degrees
     constexpr loop::TimeMs SILENCE_CHECK_MS = 200;
     constexpr loop::TimeMs OTHER_DIALS_MS = 700; // for the VM with the smaller id, which may not know of this one
     constexpr loop::TimeMs PROOF_TIMEOUT_MS = 2'000;
@@ -80,8 +81,20 @@
 
 void PeerLinks::broadcast(const PeerMessage& message)
 {
+    std::vector<NodeKey> all;
     for (const auto& [key, peer] : peers_)
-        send(key, message);
+        all.push_back(key);
+    sendToEach(all, message);
+}
+
+void PeerLinks::sendToEach(const std::vector<NodeKey>& peers, const PeerMessage& message)
+{
+    const std::string bytes = encode(message);
+    for (const NodeKey key : peers) {
+        const auto link = links_.find(key);
+        if (link != links_.end() && link->second->proved)
+            sendBytes(link->second, bytes, kindName(message));
+    }
 }
 
 void PeerLinks::dropAll(const std::string& reason)
@@ -137,9 +150,14 @@
 
 void PeerLinks::dialMissing()
 {
+    int dials = 0;
     for (auto& [key, peer] : peers_) {
-        if (links_.count(key) == 0 && shouldDial(peer))
-            dial(peer);
+        if (dials == MAX_DIALS_PER_PERIOD)
+            return;
+        if (links_.count(key) > 0 || !shouldDial(peer))
+            continue;
+        dial(peer);
+        ++dials;
     }
 }
 
@@ -276,8 +294,12 @@
 
 void PeerLinks::sendOn(const LinkPtr& link, const PeerMessage& message)
 {
-    const std::string bytes = encode(message);
-    Traffic& traffic = sent_[kindName(message)];
+    sendBytes(link, encode(message), kindName(message));
+}
+
+void PeerLinks::sendBytes(const LinkPtr& link, const std::string& bytes, const char* kind)
+{
+    Traffic& traffic = sent_[kind];
     ++traffic.messages;
     traffic.bytes += bytes.size();
     link->socket->send(bytes);
--- a/src/goldcrestcleat/fleet/PeerLinks.h
+++ b/src/goldcrestcleat/fleet/PeerLinks.h
@@ -67,6 +67,9 @@
     /// Sends to each peer whose link is up.
     void broadcast(const PeerMessage& message);
 
+    /// Sends to some peers; those whose links are not up are left out.
+    void sendToEach(const std::vector<routing::NodeKey>& peers, const PeerMessage& message);
+
     /// Closes every link; they are dialled anew.
     void dropAll(const std::string& reason);
 
@@ -108,6 +111,7 @@
     void onProof(const LinkPtr& link, const Proof& proof);
     void sendHello(const LinkPtr& link);
     void sendOn(const LinkPtr& link, const PeerMessage& message);
+    void sendBytes(const LinkPtr& link, const std::string& bytes, const char* kind);
     void reject(const LinkPtr& link, const std::string& reason);
     void drop(const LinkPtr& link, const std::string& reason);
     void dropSilent();
--- a/src/goldcrestcleat/fleet/PeerMessages.h
+++ b/src/goldcrestcleat/fleet/PeerMessages.h
@@ -112,7 +112,7 @@
     std::vector<Item> items;
 };
 
-/// Requests that the sender has open at servers; only those that changed, unless the link is new.
+/// All requests that the sender has open at servers; a heartbeat besides.
 struct ServerLoads {
     std::vector<std::pair<routing::NodeKey, int>> open;
     bool storeAnswers = true; ///< the sender reaches the store
--- a/src/goldcrestcleat/gateway/FrontGateway.cpp
+++ b/src/goldcrestcleat/gateway/FrontGateway.cpp
@@ -75,7 +75,12 @@
         env_.dialect.refuse(*exchange, ResultCode::UnknownPath, "", 0);
         return;
     }
-    const auto addresses = hooks_.entryAddresses();
+    auto addresses = hooks_.entryAddresses();
+    if (addresses.size() > entryDialect_.maxAddresses) {
+        // Another part each time, so that every daemon gets its share of the callers.
+        std::shuffle(addresses.begin(), addresses.end(), env_.random);
+        addresses.resize(entryDialect_.maxAddresses);
+    }
     if (addresses.empty())
         env_.dialect.refuse(*exchange, ResultCode::NotReady, "", 0);
     else
--- a/src/goldcrestcleat/gateway/FrontGateway.h
+++ b/src/goldcrestcleat/gateway/FrontGateway.h
@@ -12,6 +12,7 @@
 
 /// How callers ask for an address and how the platform asks for readiness; formats only.
 struct EntryDialect {
+    std::size_t maxAddresses = 0; ///< that callers take of one entry answer
     std::function<bool(const http::Exchange&)> isEntryQuestion;
     std::function<bool(const http::Exchange&)> isReadinessQuestion;
     std::function<void(http::Exchange&, const std::vector<std::string>& addresses, loop::TimeMs ttlMs)> answerEntry;
--- a/src/goldcrestcleat/upstreams/ServerBook.cpp
+++ b/src/goldcrestcleat/upstreams/ServerBook.cpp
@@ -116,26 +116,21 @@
         --found->second.ownOpen;
 }
 
-void ServerBook::setPeerOpen(NodeKey peer, NodeKey server, int open)
+void ServerBook::setPeerLoads(NodeKey peer, const std::vector<std::pair<NodeKey, int>>& open)
 {
-    int& known = peerOpen_[peer][server];
-    const int change = open - known;
-    known = open;
-    if (open == 0)
-        peerOpen_[peer].erase(server);
-    const auto found = servers_.find(server);
-    if (found != servers_.end())
-        found->second.peerOpen = std::max(0, found->second.peerOpen + change);
+    const auto before = peerOpen_[peer];
+    const std::map<NodeKey, int> after(open.begin(), open.end());
+    for (const auto& [server, count] : before) {
+        if (after.count(server) == 0)
+            setPeerOpen(peer, server, 0);
+    }
+    for (const auto& [server, count] : after)
+        setPeerOpen(peer, server, count);
 }
 
 void ServerBook::forgetPeer(NodeKey peer)
 {
-    const auto known = peerOpen_.find(peer);
-    if (known == peerOpen_.end())
-        return;
-    const auto open = known->second;
-    for (const auto& [server, count] : open)
-        setPeerOpen(peer, server, 0);
+    setPeerLoads(peer, {});
     peerOpen_.erase(peer);
 }
 
@@ -181,6 +176,18 @@
 
 // ---- private ----
 
+void ServerBook::setPeerOpen(NodeKey peer, NodeKey server, int open)
+{
+    int& known = peerOpen_[peer][server];
+    const int change = open - known;
+    known = open;
+    if (open == 0)
+        peerOpen_[peer].erase(server);
+    const auto found = servers_.find(server);
+    if (found != servers_.end())
+        found->second.peerOpen = std::max(0, found->second.peerOpen + change);
+}
+
 bool ServerBook::isLastResort(const Server& server, loop::TimeMs now) const
 {
     const loop::TimeMs since = std::max(*server.vanishedAt, storeSeenAwayAt_);
--- a/src/goldcrestcleat/upstreams/ServerBook.h
+++ b/src/goldcrestcleat/upstreams/ServerBook.h
@@ -95,8 +95,8 @@
     void open(routing::NodeKey key);
     void close(routing::NodeKey key);
 
-    /// Sets what one peer has open at a server.
-    void setPeerOpen(routing::NodeKey peer, routing::NodeKey server, int open);
+    /// Sets all that one peer has open, by server.
+    void setPeerLoads(routing::NodeKey peer, const std::vector<std::pair<routing::NodeKey, int>>& open);
 
     /// Forgets a peer whose link went down.
     void forgetPeer(routing::NodeKey peer);
@@ -115,6 +115,7 @@
 private:
     static constexpr loop::TimeMs NEVER = -1'000'000'000;
 
+    void setPeerOpen(routing::NodeKey peer, routing::NodeKey server, int open);
     int reportedOpen(routing::NodeKey server) const;
     bool isLastResort(const Server& server, loop::TimeMs now) const;
     std::size_t countListed(const std::string& service) const;
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -168,3 +168,14 @@
     cr_assert(wasThere);
     cr_assert_eq(rows.rows.count("vm/vm1"), 1);
 }
+
+Test(membership, loads_are_told_less_often_the_more_peers_there_are)
+{
+    using fleet::Membership;
+    cr_assert_eq(Membership::loadsPeriodMs(4), 100);
+    for (const std::size_t peers : { 29U, 99U, 299U, 329U }) {
+        const double perSecond
+            = 1'000.0 * static_cast<double>(peers) / static_cast<double>(Membership::loadsPeriodMs(peers));
+        cr_assert_leq(perSecond, 160, "%zu peers: %.0f messages a second", peers, perSecond);
+    }
+}
--- a/tests/unit/server_book_test.cpp
+++ b/tests/unit/server_book_test.cpp
@@ -177,10 +177,10 @@
     ServerBook book;
     book.put(entry("a"), 0);
     book.open(nodeKey("a"));
-    book.setPeerOpen(nodeKey("vm2"), nodeKey("a"), 3);
-    book.setPeerOpen(nodeKey("vm3"), nodeKey("a"), 2);
+    book.setPeerLoads(nodeKey("vm2"), { { nodeKey("a"), 3 } });
+    book.setPeerLoads(nodeKey("vm3"), { { nodeKey("a"), 2 } });
     cr_assert_eq(book.find(nodeKey("a"))->load(), 6);
-    book.setPeerOpen(nodeKey("vm2"), nodeKey("a"), 1);
+    book.setPeerLoads(nodeKey("vm2"), { { nodeKey("a"), 1 } });
     cr_assert_eq(book.find(nodeKey("a"))->load(), 4);
     book.forgetPeer(nodeKey("vm3"));
     book.close(nodeKey("a"));
@@ -190,10 +190,27 @@
 Test(server_book, loads_that_were_reported_before_the_server_was_known_count)
 {
     ServerBook book;
-    book.setPeerOpen(nodeKey("vm2"), nodeKey("a"), 3);
-    book.setPeerOpen(nodeKey("vm3"), nodeKey("a"), 2);
+    book.setPeerLoads(nodeKey("vm2"), { { nodeKey("a"), 3 } });
+    book.setPeerLoads(nodeKey("vm3"), { { nodeKey("a"), 2 } });
     book.put(entry("a"), 0);
     cr_assert_eq(book.find(nodeKey("a"))->load(), 5);
     book.forgetPeer(nodeKey("vm2"));
     cr_assert_eq(book.find(nodeKey("a"))->load(), 2);
 }
+
+Test(server_book, a_peers_loads_replace_those_that_it_told_before)
+{
+    ServerBook book;
+    for (const char* id : { "a", "b" })
+        book.put(entry(id), 0);
+    const auto a = nodeKey("a");
+    const auto b = nodeKey("b");
+    book.setPeerLoads(1, { { a, 3 }, { b, 1 } });
+    book.setPeerLoads(2, { { a, 4 } });
+    cr_assert_eq(book.find(a)->peerOpen, 7);
+    book.setPeerLoads(1, { { b, 2 } });
+    cr_assert_eq(book.find(a)->peerOpen, 4, "what a peer does not name it has closed");
+    cr_assert_eq(book.find(b)->peerOpen, 2);
+    book.forgetPeer(2);
+    cr_assert_eq(book.find(a)->peerOpen, 0);
+}
