--- a/src/goldcrestcleat/cli/LogCommands.cpp
+++ b/src/goldcrestcleat/cli/LogCommands.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestcleat/cli/LogCommands.h"
 
 #include "goldcrestcleat/cli/Commands.h"
+#include "goldcrestcleat/cli/LogLine.h"
 #include "goldcrestcleat/errors/ResultCode.h"
 
 #include <Poco/DateTimeFormat.h>
@@ -19,8 +20,6 @@
 
     constexpr Poco::Timestamp::TimeDiff SURROUNDINGS_US = 3'000'000; // changes of state that far before the end
 
-    std::string textOf(const json& line, const char* name) { return line.value(name, std::string()); }
-
     Poco::Timestamp timeOf(const json& line)
     {
         Poco::DateTime time;
@@ -34,12 +33,12 @@
     std::string causeOfRefusal(const json& line)
     {
         for (const auto& row : errors::allResults()) {
-            if (static_cast<int>(row.code) != line.value("code", 0))
+            if (static_cast<int>(row.code) != integerOf(line, "code"))
                 continue;
             const std::string context = textOf(line, "context");
-            return "refused by " + textOf(line, "vm") + " with " + std::to_string(line.value("code", 0)) + " "
+            return "refused by " + textOf(line, "vm") + " with " + std::to_string(integerOf(line, "code")) + " "
                 + row.name + ": " + row.message + (context.empty() ? "" : " (" + context + ")")
-                + (line.value("maybeRan", 0) > 0 ? "; a server may have run it" : "; no server ran it");
+                + (integerOf(line, "maybeRan") > 0 ? "; a server may have run it" : "; no server ran it");
         }
         return "refused with an unknown code";
     }
@@ -50,14 +49,14 @@
         const std::string event = textOf(last, "event");
         const std::string server = textOf(last, "server");
         if (event == "served")
-            return "served after " + std::to_string(last.value("ms", 0)) + " ms in "
-                + std::to_string(last.value("attempts", 0)) + " attempt(s)";
+            return "served after " + std::to_string(integerOf(last, "ms")) + " ms in "
+                + std::to_string(integerOf(last, "attempts")) + " attempt(s)";
         if (event == "refused")
             return causeOfRefusal(last);
         if (event == "caller-gone")
-            return "the caller closed its connection after " + std::to_string(last.value("ms", 0)) + " ms";
+            return "the caller closed its connection after " + std::to_string(integerOf(last, "ms")) + " ms";
         if (event == "cut")
-            return "the stream was cut after event " + std::to_string(last.value("lastEvent", 0)) + " ("
+            return "the stream was cut after event " + std::to_string(integerOf(last, "lastEvent")) + " ("
                 + textOf(last, "reason") + "): its server failed and the route does not allow another attempt";
         return "the log ends with '" + event + "'; the daemon may have ended, or its later lines were left out";
     }
--- a/src/goldcrestcleat/cli/Report.cpp
+++ b/src/goldcrestcleat/cli/Report.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestcleat/cli/Commands.h"
 #include "goldcrestcleat/cli/LogCommands.h"
+#include "goldcrestcleat/cli/LogLine.h"
 #include "goldcrestcleat/errors/ResultCode.h"
 
 #include <algorithm>
@@ -66,24 +67,24 @@
     {
         day.first = std::min(day.first.value_or(second), second);
         day.last = std::max(day.last, second);
-        const json codes = line.value("codes", json::object());
+        const json codes = objectOf(line, "codes");
         for (const auto& [code, count] : codes.items())
-            day.results[resultName(code)][second] += count.get<double>();
-        const json kinds = line.value("kinds", json::object());
+            day.results[resultName(code)][second] += count.is_number() ? count.get<double>() : 0;
+        const json kinds = objectOf(line, "kinds");
         for (const auto& [kind, counts] : kinds.items()) {
             for (const char* percentile : { "p50", "p95" }) {
                 double& worst = day.waits[kind + " " + percentile][second];
-                worst = std::max(worst, counts.value(percentile, 0.0));
+                worst = std::max(worst, numberOf(counts, percentile));
             }
         }
-        const json loads = line.value("loads", json::object());
+        const json loads = objectOf(line, "loads");
         for (const auto& [server, load] : loads.items()) {
             double& highest = day.loads[server][second];
-            highest = std::max(highest, load.get<double>());
+            highest = std::max(highest, load.is_number() ? load.get<double>() : 0);
         }
-        const std::string vm = line.value("vm", "");
-        day.versions[vm][second] = line.value("config", 0.0);
-        day.peers[vm][second] = line.value("peers", 0.0);
+        const std::string vm = textOf(line, "vm");
+        day.versions[vm][second] = numberOf(line, "config");
+        day.peers[vm][second] = numberOf(line, "peers");
     }
 
     Day readDay(const std::vector<json>& lines)
@@ -91,13 +92,13 @@
         Day day;
         for (const auto& line : lines) {
             const auto second = secondOf(line);
-            if (second && line.value("event", "") == "second")
+            if (second && textOf(line, "event") == "second")
                 addSecond(day, line, *second);
             else if (isChangeOfState(line))
                 day.changes.push_back(&line);
         }
         std::stable_sort(day.changes.begin(), day.changes.end(),
-            [](const json* a, const json* b) { return a->value("time", "") < b->value("time", ""); });
+            [](const json* a, const json* b) { return textOf(*a, "time") < textOf(*b, "time"); });
         return day;
     }
 
@@ -174,9 +175,9 @@
         table << "<h2>Changes of state</h2><table>";
         for (std::size_t i = 0; i < std::min(day.changes.size(), MAX_CHANGES); ++i) {
             json fields = *day.changes[i];
-            const std::string time = fields.value("time", "");
-            const std::string vm = fields.value("vm", "");
-            const std::string event = fields.value("event", "");
+            const std::string time = textOf(fields, "time");
+            const std::string vm = textOf(fields, "vm");
+            const std::string event = textOf(fields, "event");
             for (const char* name : { "time", "vm", "event", "level" })
                 fields.erase(name);
             table << "<tr><td>" << escaped(time) << "</td><td>" << escaped(vm) << "</td><td>" << escaped(event)
--- a/tests/unit/log_commands_test.cpp
+++ b/tests/unit/log_commands_test.cpp
@@ -53,3 +53,13 @@
     cr_assert(storyOf(LOG, "r5").cause.find("ends with 'retry'") != std::string::npos);
     cr_assert(storyOf(LOG, "unknown").decisions.empty());
 }
+
+/// Found by fuzz_test: a line of another program made the command throw.
+Test(log_commands, members_of_another_type_count_as_absent)
+{
+    const auto story = storyOf(R"({"event":2005,"request":"r1","time":7,"vm":null}
+{"event":"refused","code":"many","request":"r1","time":"2026-01-01T00:00:02.000000Z","vm":"vm1"})",
+        "r1");
+    cr_assert_eq(story.decisions.size(), 2);
+    cr_assert(story.cause.find("refused") != std::string::npos, "%s", story.cause.c_str());
+}
--- a/tests/unit/platform_documents_test.cpp
+++ b/tests/unit/platform_documents_test.cpp
@@ -132,3 +132,11 @@
         RC_ASSERT(code == errors::ResultCode::Ok || code == errors::ResultCode::ConfigurationInvalid);
     }));
 }
+
+/// Found by fuzz_test.
+Test(platform_documents, an_entry_without_the_name_of_a_service_is_refused)
+{
+    json entry = ENTRY;
+    entry["service"] = "";
+    cr_assert(codeOf([&] { platform::parseServer("i", entry.dump()); }) == errors::ResultCode::ServerEntryInvalid);
+}
