--- a/tests/fleet/cli_test.cpp
+++ b/tests/fleet/cli_test.cpp
@@ -1,3 +1,4 @@
+#include "harness/Program.h"
 #include "harness/Rig.h"
 
 #include <criterion/criterion.h>
@@ -8,26 +9,9 @@
 
 namespace {
 
-/// What a run of the program printed and returned.
-struct Run {
-    int exitCode;
-    std::string output;
-    std::string errors;
-};
-
-Run run(const Rig& rig, std::vector<std::string> arguments)
+ProgramRun run(const Rig& rig, const std::vector<std::string>& arguments)
 {
-    arguments.insert(arguments.begin(), GOLDCRESTCLEAT_BINARY);
-    const std::string errorPath = rig.folder() + "/cli.err";
-    std::ofstream(errorPath, std::ios::trunc).close();
-    Process process(arguments, errorPath);
-    Run result;
-    for (std::string line = process.readLine(); !line.empty(); line = process.readLine())
-        result.output += line + "\n";
-    result.exitCode = process.waitForExit(30'000);
-    std::ifstream file(errorPath);
-    result.errors.assign(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
-    return result;
+    return runProgram(rig.folder(), arguments);
 }
 
 std::string write(const Rig& rig, const std::string& name, const std::string& text)
