Let others watch the store before the leaders' silent calls have failed

What was changed: a watch is open for 0.6 s; a leader whose watch is overdue by 0.5 s says at once that the store does not answer it, and the next daemons lead before its call has failed.

--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -31,7 +31,7 @@
     constexpr loop::TimeMs REPAIR_PERIOD_MS = 400; // a fifth of the shortest bound on configuration
 
     constexpr std::size_t LEADERS = 2; // daemons that watch each table; one may fail without a delay
-    constexpr loop::TimeMs WATCH_MS = 2'000; // mean time between looks of all leaders, if one connection is silent
+    constexpr loop::TimeMs WATCH_MS = 600; // a leader without an answer for longer is replaced well within 2 s
     constexpr std::size_t PASSED_ON_BYTES = 16 * 1024; // larger changes cost less to read from the store
 
     std::string rowOf(const settings::EntryVm& vm)
@@ -378,6 +378,11 @@
         busyAt_ = loop_.now();
     else if (loop_.now() - busyAt_ > periodMs) // all peers know that nothing is open
         periodMs = std::max(periodMs, HEARTBEAT_MS);
+    if (loads.storeAnswers != toldStoreAnswers_) {
+        toldStoreAnswers_ = loads.storeAnswers;
+        links_.broadcast(loads); // others have to lead from now on, or need not any more
+        return;
+    }
     turns_ += static_cast<double>(peers.size()) * static_cast<double>(TICK_MS) / static_cast<double>(periodMs);
     std::vector<NodeKey> due;
     for (; turns_ >= 1 && due.size() < peers.size(); --turns_)
@@ -399,7 +404,11 @@
 void Membership::onLoads(const Peer& peer, const ServerLoads& loads)
 {
     servers_.setPeerLoads(peer.key, loads.open);
-    peerReachesStore_[peer.key] = loads.storeAnswers;
+    bool& reachesStore = peerReachesStore_[peer.key];
+    const bool hasChanged = reachesStore != loads.storeAnswers;
+    reachesStore = loads.storeAnswers;
+    if (hasChanged)
+        updateLeading();
     std::size_t index = 0;
     for (auto& [table, shared] : shared_) {
         if (index < loads.newestRows.size())
@@ -411,26 +420,25 @@
 
 bool Membership::storeAnswers() const
 {
-    return std::all_of(
-        shared_.begin(), shared_.end(), [](const auto& entry) { return entry.second.watcher->isAnswering(); });
+    return std::all_of(shared_.begin(), shared_.end(), [](const auto& entry) {
+        const auto& watcher = *entry.second.watcher;
+        return watcher.isAnswering() && !watcher.isOverdue();
+    });
 }
 
 /// The daemons with the smallest keys that reach the store lead.
 void Membership::updateLeading()
 {
     std::size_t before = 0;
-    std::size_t able = 1;
     for (const auto* peer : links_.peers()) {
         const auto reaches = peerReachesStore_.find(peer->key);
         if (!peer->isUp || reaches == peerReachesStore_.end() || !reaches->second)
             continue;
-        ++able;
         before += peer->key < routing::nodeKey(settings_.self.id);
     }
     isLeading_ = before < LEADERS;
-    const auto watchMs = WATCH_MS * static_cast<loop::TimeMs>(std::min(able, LEADERS));
     for (auto& [table, shared] : shared_)
-        shared.watcher->setLeading(isLeading_, watchMs);
+        shared.watcher->setLeading(isLeading_, WATCH_MS);
 }
 
 void Membership::passOn(const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes)
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -124,6 +124,7 @@
     PeerLinks links_;
     std::map<std::string, Shared> shared_; // by table
     std::map<routing::NodeKey, bool> peerReachesStore_;
+    bool toldStoreAnswers_ = true;
     std::size_t nextTold_ = 0; // rotates over the peers
     double turns_ = 0; // peers that are due to hear the loads
     loop::TimeMs busyAt_ = 0; // when requests were open last
--- a/src/goldcrestcleat/store/TableWatcher.cpp
+++ b/src/goldcrestcleat/store/TableWatcher.cpp
@@ -12,6 +12,9 @@
     // changes is enough.
     constexpr loop::TimeMs FOLLOWER_PAUSE_MS = 10'000;
 
+    // Beyond the time of a watch: the pause between two calls, and the time of an answer of a slow store.
+    constexpr loop::TimeMs OVERDUE_MS = 500;
+
     // Changes often come in groups, and each call is priced. A tenth of the shortest bound on a change.
     constexpr loop::TimeMs GROUP_MS = 200;
 
@@ -38,10 +41,14 @@
     watchMs_ = watchMs;
     const bool beginsToLead = isLeading && !isLeading_;
     isLeading_ = isLeading;
+    if (beginsToLead)
+        heardAt_ = loop_.now();
     if (beginsToLead && timer_ != 0 && isAnswering_)
         nextAfter(0);
 }
 
+bool TableWatcher::isOverdue() const { return isLeading_ && loop_.now() - heardAt_ > watchMs_ + OVERDUE_MS; }
+
 void TableWatcher::applyFromPeer(const RowChanges& changes, loop::TimeMs lapsedMs)
 {
     if (changes.version <= mirror_.version())
@@ -136,6 +143,7 @@
 void TableWatcher::onAnswered()
 {
     failures_ = 0;
+    heardAt_ = loop_.now();
     if (isAnswering_)
         return;
     isAnswering_ = true;
--- a/src/goldcrestcleat/store/TableWatcher.h
+++ b/src/goldcrestcleat/store/TableWatcher.h
@@ -37,6 +37,10 @@
     /// True while the last call was answered.
     bool isAnswering() const { return isAnswering_; }
 
+    /// True when this watcher leads and its watch is overdue: the store may be out of reach, long before the call
+    /// fails.
+    bool isOverdue() const;
+
     const TableMirror& mirror() const { return mirror_; }
     const std::string& table() const { return table_; }
 
@@ -72,6 +76,7 @@
     bool isAnswering_ = true;
     bool isLeading_ = true;
     loop::TimeMs watchMs_; // how long a watch stays open
+    loop::TimeMs heardAt_ = 0; // when the store answered last, or this watcher began to lead
     loop::EventLoop::TimerId timer_ = 0; // of the next call; 0 while one is open
     int failures_ = 0; // in a row
     loop::TimeMs lapsedUntil_ = 0;
--- a/tests/fleet/front_test.cpp
+++ b/tests/fleet/front_test.cpp
@@ -1,9 +1,11 @@
 #include "harness/FrontRig.h"
 
 #include "goldcrestcleat/observe/Digest.h"
+#include "goldcrestcleat/routing/Keys.h"
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <csignal>
 #include <future>
 #include <numeric>
@@ -226,6 +228,28 @@
     }
 }
 
+/// Found by a hunt: the daemons that watch the store were cut off from it without an error, and the others waited for
+/// them.
+Test(front, others_watch_the_store_before_the_leaders_calls_have_failed)
+{
+    Started rig;
+    std::vector<int> daemons = { 0, 1, 2 };
+    std::sort(daemons.begin(), daemons.end(), [](int a, int b) {
+        return routing::nodeKey("vm" + std::to_string(a + 1)) < routing::nodeKey("vm" + std::to_string(b + 1));
+    });
+    sleepMs(3'000); // until the first watch of the third daemon, which leads at its start, is over
+    for (const int leader : { daemons[0], daemons[1] }) {
+        rig.storeRelay(leader).setMode(RelayMode::Silent);
+        rig.storeRelay(leader).forgetConnections();
+    }
+    rig.configuration["tenants"][0]["apiKeys"] = { "new-key" };
+    rig.publish();
+    cr_assert(rig.answers(daemons[2], "/read/a", 200, { { "Api-Key", "new-key" } }));
+    cr_assert(rig.answers(daemons[0], "/read/a", 200, { { "Api-Key", "new-key" } }), "a peer has told the leader");
+    for (const int leader : { daemons[0], daemons[1] })
+        cr_assert(rig.logLines(leader, "store-lost").empty(), "the others waited until the leaders' calls failed");
+}
+
 Test(front, a_server_that_leaves_gets_no_new_work)
 {
     Started rig;
