Refuse answers whose status is of no class

Cause: fuzz_test under the sanitizers: POCO reads a status of 999 into its enumeration of statuses, which is undefined behaviour. Before: the sanitizers stop the test. After: such an answer is a fault with a number before POCO reads it; http_test has the case.

--- a/src/goldcrestcleat/http/MessageReader.cpp
+++ b/src/goldcrestcleat/http/MessageReader.cpp
@@ -73,6 +73,18 @@
         return !text.empty() && result.ec == std::errc() && result.ptr == end;
     }
 
+    /// Says whether a status line's number is one of the five classes; POCO reads any number into its enumeration.
+    bool hasKnownStatus(const std::string& head)
+    {
+        const auto space = head.find(' ');
+        if (space == std::string::npos || space + 3 >= head.size())
+            return false;
+        const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+        const char first = head[space + 1];
+        const bool isNumber = first >= '1' && first <= '5' && isDigit(head[space + 2]) && isDigit(head[space + 3]);
+        return isNumber && !(space + 4 < head.size() && isDigit(head[space + 4]));
+    }
+
 } // namespace
 
 MessageReader::MessageReader(Kind kind, const Limits& limits, Hooks hooks)
@@ -185,6 +197,8 @@
                 return false;
             hooks_.onRequestHead(request);
         } else {
+            if (!hasKnownStatus(head))
+                return fault(ResultCode::MalformedRequest, "not an HTTP status");
             Poco::Net::HTTPResponse response;
             response.read(in);
             const int status = response.getStatus();
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -141,3 +141,18 @@
         cr_assert(kinds == "CFD", "pieces of %zu: %s", piece, kinds.c_str());
     }
 }
+
+/// Found by fuzz_test under the sanitizers: POCO reads any number into its enumeration of statuses.
+Test(message_reader, an_answer_with_a_status_of_no_class_is_refused)
+{
+    for (const char* status : { "999", "099", "2000", "20", "OK", "-10" }) {
+        errors::ResultCode code = errors::ResultCode::Ok;
+        bool hasHead = false;
+        http::MessageReader::Hooks hooks;
+        hooks.onResponseHead = [&](const Poco::Net::HTTPResponse&) { hasHead = true; };
+        hooks.onFault = [&](errors::ResultCode fault, const std::string&) { code = fault; };
+        http::MessageReader reader(http::MessageReader::Kind::Response, http::Limits(), std::move(hooks));
+        reader.feed(std::string("HTTP/1.1 ") + status + " x\r\nContent-Length: 0\r\n\r\n");
+        cr_assert(!hasHead && code == errors::ResultCode::MalformedRequest, "%s", status);
+    }
+}
