--- a/tests/fleet/front_variants_test.cpp
+++ b/tests/fleet/front_variants_test.cpp
@@ -114,7 +114,7 @@
     // while.
     for (int i = 0; i < options.apps; ++i) {
         rig.unregisterServer(FrontRig::appName(i));
-        const auto gone = static_cast<std::size_t>(i + 1);
+        const std::size_t gone = static_cast<std::size_t>(i) + 1;
         cr_assert(eventually([&] { return rig.logLines(0, "server-removed").size() == gone; }));
     }
     std::string refusedId;
