Split the tables that daemons keep up to date together from membership

Change: SharedTables holds who leads, what is passed on, and who asks whom; Membership only carries its messages. No behaviour is changed.

--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -28,11 +28,6 @@
     // here on, and each peer hears of it less often.
     constexpr loop::TimeMs LOADS_PER_S = 150;
     constexpr loop::TimeMs MS_PER_S = 1'000;
-    constexpr loop::TimeMs REPAIR_PERIOD_MS = 400; // a fifth of the shortest bound on configuration
-
-    constexpr std::size_t LEADERS = 2; // daemons that watch each table; one may fail without a delay
-    constexpr loop::TimeMs WATCH_MS = 600; // a leader without an answer for longer is replaced well within 2 s
-    constexpr std::size_t PASSED_ON_BYTES = 16 * 1024; // larger changes cost less to read from the store
 
     std::string rowOf(const settings::EntryVm& vm)
     {
@@ -69,6 +64,10 @@
                       { { "peer", peer }, { "reason", reason },
                           { "code", static_cast<int>(errors::ResultCode::PeerRejected) } });
               } })
+    , tables_(loop, routing::nodeKey(settings.self.id),
+          { [this](NodeKey peer, const PeerMessage& message) { links_.send(peer, message); },
+              [this](const PeerMessage& message) { links_.broadcast(message); },
+              [this] { links_.broadcast(currentLoads()); }, [this] { return peersWithLinks(); } })
     , renewalMs_(renewalMs)
 {
     identity_.self = settings.self;
@@ -78,14 +77,6 @@
 
 void Membership::start() { readTable(); }
 
-void Membership::share(store::TableWatcher& watcher)
-{
-    shared_[watcher.table()].watcher = &watcher;
-    watcher.onLearned = [this, table = watcher.table()](std::uint64_t afterVersion, const store::RowChanges& changes) {
-        passOn(table, afterVersion, changes);
-    };
-}
-
 void Membership::setReady(bool isReady)
 {
     if (isReady_ == isReady)
@@ -128,11 +119,7 @@
 
 int Membership::size() const { return 1 + static_cast<int>(links_.peers().size()); }
 
-int Membership::peersUp() const
-{
-    const auto peers = links_.peers();
-    return static_cast<int>(std::count_if(peers.begin(), peers.end(), [](const Peer* peer) { return peer->isUp; }));
-}
+int Membership::peersUp() const { return static_cast<int>(peersWithLinks().size()); }
 
 loop::TimeMs Membership::oldestReportMs() const
 {
@@ -144,12 +131,6 @@
     return oldest;
 }
 
-bool Membership::hasPeerWithoutStore() const
-{
-    return std::any_of(
-        peerReachesStore_.begin(), peerReachesStore_.end(), [](const auto& entry) { return !entry.second; });
-}
-
 // ---- private: joining ----
 
 void Membership::readTable()
@@ -222,7 +203,7 @@
     log_.info("joined", { { "peers", links_.peers().size() } });
     links_.start();
     loop_.every(TICK_MS, [this] { sendLoads(); });
-    loop_.every(REPAIR_PERIOD_MS, [this] { repairTables(); });
+    loop_.every(SharedTables::REPAIR_PERIOD_MS, [this] { tables_.repair(); });
     renewLater();
 }
 
@@ -298,7 +279,7 @@
 /// One of the leading daemons removes the row, unless its owner has written it meanwhile.
 void Membership::removeRow(const store::VersionedRow& row)
 {
-    if (!isLeading_)
+    if (!tables_.isLeading())
         return;
     store::RowWrite removal { TABLE, row.key, "", row.version, true, true };
     store_.commit({ removal }, [this, key = row.key](RowCommitOutcome outcome) {
@@ -325,9 +306,9 @@
         for (const auto server : lost->servers)
             hooks_.onServerLost(server);
     } else if (const auto* ask = std::get_if<MirrorAsk>(&message)) {
-        answerMirrorAsk(peer, *ask);
+        tables_.onAsk(peer.key, *ask);
     } else if (const auto* rows = std::get_if<MirrorRows>(&message)) {
-        onMirrorRows(peer, *rows);
+        tables_.onRows(peer.key, *rows);
     }
 }
 
@@ -346,8 +327,7 @@
 {
     log_.info("peer-down", { { "peer", peer.vm.id }, { "silentMs", loop_.now() - peer.lastHeardAt } });
     servers_.forgetPeer(peer.key);
-    peerReachesStore_.erase(peer.key);
-    updateLeading();
+    tables_.forgetPeer(peer.key);
     hooks_.onPeersChanged();
 }
 
@@ -367,7 +347,7 @@
 /// Sends the own loads to the peers whose turn it is.
 void Membership::sendLoads()
 {
-    updateLeading();
+    tables_.updateLeading();
     const auto peers = links_.peers();
     if (peers.empty())
         return;
@@ -395,122 +375,24 @@
 {
     ServerLoads loads;
     loads.open = servers_.ownOpen();
-    loads.storeAnswers = storeAnswers();
-    for (const auto& [table, shared] : shared_)
-        loads.newestRows.push_back(shared.watcher->mirror().newestRow());
+    tables_.describe(loads);
     return loads;
 }
 
 void Membership::onLoads(const Peer& peer, const ServerLoads& loads)
 {
     servers_.setPeerLoads(peer.key, loads.open);
-    bool& reachesStore = peerReachesStore_[peer.key];
-    const bool hasChanged = reachesStore != loads.storeAnswers;
-    reachesStore = loads.storeAnswers;
-    if (hasChanged)
-        updateLeading();
-    std::size_t index = 0;
-    for (auto& [table, shared] : shared_) {
-        if (index < loads.newestRows.size())
-            onNewestRow(peer, shared, loads.newestRows[index++]);
-    }
+    tables_.onPeerReport(peer.key, loads);
 }
 
-// ---- private: shared tables ----
-
-bool Membership::storeAnswers() const
+std::vector<NodeKey> Membership::peersWithLinks() const
 {
-    return std::all_of(shared_.begin(), shared_.end(), [](const auto& entry) {
-        const auto& watcher = *entry.second.watcher;
-        return watcher.isAnswering() && !watcher.isOverdue();
-    });
-}
-
-/// The daemons with the smallest keys that reach the store lead.
-void Membership::updateLeading()
-{
-    std::size_t before = 0;
-    for (const auto* peer : links_.peers()) {
-        const auto reaches = peerReachesStore_.find(peer->key);
-        if (!peer->isUp || reaches == peerReachesStore_.end() || !reaches->second)
-            continue;
-        before += peer->key < routing::nodeKey(settings_.self.id);
-    }
-    isLeading_ = before < LEADERS;
-    for (auto& [table, shared] : shared_)
-        shared.watcher->setLeading(isLeading_, WATCH_MS);
-}
-
-void Membership::passOn(const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes)
-{
-    if (!linksOpen_ || afterVersion == 0)
-        return;
-    std::size_t bytes = 0;
-    for (const auto& row : changes.rows)
-        bytes += row.key.size() + row.value.size();
-    if (bytes > PASSED_ON_BYTES) {
-        links_.broadcast(currentLoads()); // tells the peers that there is something to read
-        return;
-    }
-    const loop::TimeMs lapsedMs = std::max<loop::TimeMs>(0, shared_.at(table).watcher->lapsedUntil() - loop_.now());
-    links_.broadcast(MirrorRows { table, afterVersion, lapsedMs, changes });
-}
-
-/// Catches up with a peer that has newer rows: from the store at once, and from the peer if that takes too long.
-void Membership::onNewestRow(const Peer& peer, Shared& shared, std::uint64_t newestRow)
-{
-    if (newestRow <= shared.watcher->mirror().version()) {
-        shared.behindSince = 0;
-        return;
-    }
-    if (shared.behindSince == 0) {
-        shared.behindSince = loop_.now();
-        shared.watcher->checkNow();
-    } else if (loop_.now() - shared.behindSince > REPAIR_PERIOD_MS) {
-        shared.behindSince = loop_.now();
-        links_.send(peer.key, MirrorAsk { shared.watcher->table(), shared.watcher->mirror().version() });
-    }
-}
-
-void Membership::onMirrorRows(const Peer& peer, const MirrorRows& rows)
-{
-    const auto shared = shared_.find(rows.table);
-    if (shared == shared_.end())
-        return;
-    const std::uint64_t known = shared->second.watcher->mirror().version();
-    if (rows.changes.isWhole || known >= rows.afterVersion)
-        shared->second.watcher->applyFromPeer(rows.changes, rows.lapsedMs);
-    else
-        links_.send(peer.key, MirrorAsk { rows.table, known });
-}
-
-/// Asks one peer for the changes of each table while the store does not answer.
-void Membership::repairTables()
-{
-    std::vector<const Peer*> up;
+    std::vector<NodeKey> up;
     for (const auto* peer : links_.peers()) {
         if (peer->isUp)
-            up.push_back(peer);
-    }
-    if (up.empty())
-        return;
-    for (const auto& [table, shared] : shared_) {
-        if (!shared.watcher->isCurrent())
-            links_.send(up[nextAsked_++ % up.size()]->key, MirrorAsk { table, shared.watcher->mirror().version() });
+            up.push_back(peer->key);
     }
-}
-
-void Membership::answerMirrorAsk(const Peer& peer, const MirrorAsk& ask)
-{
-    const auto shared = shared_.find(ask.table);
-    if (shared == shared_.end())
-        return;
-    const auto& watcher = *shared->second.watcher;
-    if (watcher.mirror().version() <= ask.afterVersion)
-        return;
-    const loop::TimeMs lapsedMs = std::max<loop::TimeMs>(0, watcher.lapsedUntil() - loop_.now());
-    links_.send(peer.key,
-        MirrorRows { ask.table, ask.afterVersion, lapsedMs, watcher.mirror().changesAfter(ask.afterVersion) });
+    return up;
 }
 
 } // namespace goldcrestcleat::fleet
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -2,9 +2,9 @@
 
 #include "goldcrestcleat/admission/Quarantine.h"
 #include "goldcrestcleat/fleet/PeerLinks.h"
+#include "goldcrestcleat/fleet/SharedTables.h"
 #include "goldcrestcleat/observe/Log.h"
 #include "goldcrestcleat/settings/FrontSettings.h"
-#include "goldcrestcleat/store/TableWatcher.h"
 #include "goldcrestcleat/upstreams/ServerBook.h"
 
 #include <map>
@@ -38,9 +38,8 @@
     /// Reads the table, joins it and opens the links. Throws Error with AddressInUse.
     void start();
 
-    /// A watched table that the daemons keep up to date together: a few watch it and pass changes on, and whoever is
-    /// behind asks the store, or a peer while the store does not answer.
-    void share(store::TableWatcher& watcher);
+    /// Makes a watched table one that the daemons keep up to date together.
+    void share(store::TableWatcher& watcher) { tables_.add(watcher); }
 
     void setReady(bool isReady);
     void beginLeaving();
@@ -58,7 +57,7 @@
     std::vector<std::string> entryAddresses() const;
 
     /// True when a peer that is up reports that the store does not answer it.
-    bool hasPeerWithoutStore() const;
+    bool hasPeerWithoutStore() const { return tables_.hasPeerWithoutStore(); }
 
     /// Returns the time between two messages of loads to a peer.
     static loop::TimeMs loadsPeriodMs(std::size_t peers);
@@ -76,11 +75,6 @@
 private:
     using Rows = std::vector<store::VersionedRow>;
 
-    struct Shared {
-        store::TableWatcher* watcher = nullptr;
-        loop::TimeMs behindSince = 0; // when a peer was first known to have newer rows; 0 when none has
-    };
-
     struct Renewals {
         std::uint64_t version = 0;
         int missed = 0; // own renewals since the row changed
@@ -104,14 +98,8 @@
     void sendRoster(routing::NodeKey peer);
     void sendLoads();
     ServerLoads currentLoads() const;
-    void updateLeading();
-    bool storeAnswers() const;
-    void passOn(const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes);
     void onLoads(const Peer& peer, const ServerLoads& loads);
-    void onNewestRow(const Peer& peer, Shared& shared, std::uint64_t newestRow);
-    void onMirrorRows(const Peer& peer, const MirrorRows& rows);
-    void repairTables();
-    void answerMirrorAsk(const Peer& peer, const MirrorAsk& ask);
+    std::vector<routing::NodeKey> peersWithLinks() const;
 
     loop::EventLoop& loop_;
     const settings::FrontSettings& settings_;
@@ -122,16 +110,13 @@
     Hooks hooks_;
     settings::Settings identity_; // what the links need to know of this daemon
     PeerLinks links_;
-    std::map<std::string, Shared> shared_; // by table
-    std::map<routing::NodeKey, bool> peerReachesStore_;
+    SharedTables tables_;
     bool toldStoreAnswers_ = true;
     std::size_t nextTold_ = 0; // rotates over the peers
     double turns_ = 0; // peers that are due to hear the loads
     loop::TimeMs busyAt_ = 0; // when requests were open last
-    std::size_t nextAsked_ = 0; // rotates over the peers
     std::map<std::string, Renewals> renewals_; // by key of the row
     const loop::TimeMs renewalMs_;
-    bool isLeading_ = false;
     bool linksOpen_ = false;
     bool isReady_ = false;
     bool isLeaving_ = false;
