Let a late watch move the lead without being taken for an outage of the store

Cause (KNOWN-RED, explain_removal_test): a leader whose watch is overdue reported in the same field that the store does not answer it. Its peers then took the store for away, and each such report kept servers that had vanished as a last resort for another 2.5 s. Beside busy loops such reports come all the time. Ruled out: the half-of-a-service rule (it keeps servers for 2.5 s once); the lapse time that peers pass on (it is zero while the store answers). Change: messages of loads carry both facts; an overdue watch takes the sender out of the lead, only an unanswered call says that the store may be away.

--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -358,8 +358,9 @@
         busyAt_ = loop_.now();
     else if (loop_.now() - busyAt_ > periodMs) // all peers know that nothing is open
         periodMs = std::max(periodMs, HEARTBEAT_MS);
-    if (loads.storeAnswers != toldStoreAnswers_) {
-        toldStoreAnswers_ = loads.storeAnswers;
+    const bool mayLead = loads.storeAnswers && !loads.isWatchOverdue;
+    if (mayLead != toldMayLead_) {
+        toldMayLead_ = mayLead;
         links_.broadcast(loads); // others have to lead from now on, or need not any more
         return;
     }
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -111,7 +111,7 @@
     settings::Settings identity_; // what the links need to know of this daemon
     PeerLinks links_;
     SharedTables tables_;
-    bool toldStoreAnswers_ = true;
+    bool toldMayLead_ = true;
     std::size_t nextTold_ = 0; // rotates over the peers
     double turns_ = 0; // peers that are due to hear the loads
     loop::TimeMs busyAt_ = 0; // when requests were open last
--- a/src/goldcrestcleat/fleet/PeerMessages.cpp
+++ b/src/goldcrestcleat/fleet/PeerMessages.cpp
@@ -85,7 +85,7 @@
 
     json toArray(const ServerLoads& m)
     {
-        json array = { m.storeAnswers, m.newestRows };
+        json array = { m.storeAnswers, m.isWatchOverdue, m.newestRows };
         for (const auto& [server, open] : m.open) {
             array.push_back(server);
             array.push_back(open);
@@ -203,9 +203,10 @@
     {
         ServerLoads m;
         m.storeAnswers = read<bool>(a, 1);
-        for (const json& version : a.at(2))
+        m.isWatchOverdue = read<bool>(a, 2);
+        for (const json& version : a.at(3))
             m.newestRows.push_back(version.get<std::uint64_t>());
-        for (std::size_t i = 3; i + 1 < a.size(); i += 2)
+        for (std::size_t i = 4; i + 1 < a.size(); i += 2)
             m.open.emplace_back(read<std::uint32_t>(a, i), read<int>(a, i + 1));
         return m;
     }
--- a/src/goldcrestcleat/fleet/PeerMessages.h
+++ b/src/goldcrestcleat/fleet/PeerMessages.h
@@ -115,7 +115,9 @@
 /// All requests that the sender has open at servers; a heartbeat besides.
 struct ServerLoads {
     std::vector<std::pair<routing::NodeKey, int>> open;
-    bool storeAnswers = true; ///< the sender reaches the store
+    bool storeAnswers = true; ///< the sender's last calls to the store were answered
+    bool isWatchOverdue
+        = false; ///< the sender leads and waits longer for the store than it should: others have to lead
     std::vector<std::uint64_t> newestRows {}; ///< of the sender's mirrors, in order of their tables' names
 };
 
--- a/src/goldcrestcleat/fleet/SharedTables.cpp
+++ b/src/goldcrestcleat/fleet/SharedTables.cpp
@@ -31,17 +31,21 @@
 
 void SharedTables::describe(ServerLoads& loads) const
 {
-    loads.storeAnswers = storeAnswers();
-    for (const auto& [table, shared] : shared_)
+    loads.storeAnswers = true;
+    loads.isWatchOverdue = false;
+    for (const auto& [table, shared] : shared_) {
+        loads.storeAnswers = loads.storeAnswers && shared.watcher->isAnswering();
+        loads.isWatchOverdue = loads.isWatchOverdue || shared.watcher->isOverdue();
         loads.newestRows.push_back(shared.watcher->mirror().newestRow());
+    }
 }
 
 void SharedTables::onPeerReport(NodeKey peer, const ServerLoads& loads)
 {
-    bool& reachesStore = reachesStore_[peer];
-    const bool hasChanged = reachesStore != loads.storeAnswers;
-    reachesStore = loads.storeAnswers;
-    if (hasChanged)
+    Contact& contact = contacts_[peer];
+    const bool couldLead = contact.mayLead();
+    contact = { loads.storeAnswers, loads.isWatchOverdue };
+    if (contact.mayLead() != couldLead)
         updateLeading();
     std::size_t index = 0;
     for (auto& [table, shared] : shared_) {
@@ -52,15 +56,15 @@
 
 void SharedTables::forgetPeer(NodeKey peer)
 {
-    reachesStore_.erase(peer);
+    contacts_.erase(peer);
     updateLeading();
 }
 
-/// The daemons with the smallest keys that reach the store lead.
+/// The daemons with the smallest keys that reach the store in time lead.
 void SharedTables::updateLeading()
 {
-    const auto before = static_cast<std::size_t>(std::count_if(reachesStore_.begin(), reachesStore_.end(),
-        [&](const auto& peer) { return peer.second && peer.first < self_; }));
+    const auto before = static_cast<std::size_t>(std::count_if(contacts_.begin(), contacts_.end(),
+        [&](const auto& entry) { return entry.first < self_ && entry.second.mayLead(); }));
     isLeading_ = before < LEADERS;
     for (auto& [table, shared] : shared_)
         shared.watcher->setLeading(isLeading_, WATCH_MS);
@@ -103,19 +107,12 @@
 
 bool SharedTables::hasPeerWithoutStore() const
 {
-    return std::any_of(reachesStore_.begin(), reachesStore_.end(), [](const auto& peer) { return !peer.second; });
+    return std::any_of(
+        contacts_.begin(), contacts_.end(), [](const auto& entry) { return !entry.second.storeAnswers; });
 }
 
 // ---- private ----
 
-bool SharedTables::storeAnswers() const
-{
-    return std::all_of(shared_.begin(), shared_.end(), [](const auto& entry) {
-        const auto& watcher = *entry.second.watcher;
-        return watcher.isAnswering() && !watcher.isOverdue();
-    });
-}
-
 void SharedTables::passOn(const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes)
 {
     if (afterVersion == 0)
--- a/src/goldcrestcleat/fleet/SharedTables.h
+++ b/src/goldcrestcleat/fleet/SharedTables.h
@@ -60,7 +60,15 @@
         loop::TimeMs behindSince = 0; // when a peer was first known to have newer rows; 0 when none has
     };
 
-    bool storeAnswers() const;
+    /// What a peer reported of its contact to the store.
+    struct Contact {
+        bool storeAnswers = false;
+        bool isWatchOverdue = false;
+
+        /// A late answer may mean that the watch was cut off without an error; another one leads until it is there.
+        bool mayLead() const { return storeAnswers && !isWatchOverdue; }
+    };
+
     void passOn(const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes);
     void catchUp(routing::NodeKey peer, Shared& shared, std::uint64_t newestRow);
     loop::TimeMs lapsedMs(const store::TableWatcher& watcher) const;
@@ -69,7 +77,7 @@
     const routing::NodeKey self_;
     Hooks hooks_;
     std::map<std::string, Shared> shared_; // by table
-    std::map<routing::NodeKey, bool> reachesStore_; // by peer
+    std::map<routing::NodeKey, Contact> contacts_; // by peer
     std::size_t nextAsked_ = 0; // rotates over the peers
     bool isLeading_ = false;
 };
--- a/tests/fleet/explain_removal_test.cpp
+++ b/tests/fleet/explain_removal_test.cpp
@@ -5,7 +5,8 @@
 
 using namespace goldcrestcleat::harness;
 
-// Listed in KNOWN-RED.txt: under load the removal can lie outside the three seconds that explain shows.
+// Failed beside busy loops while a late answer of the store was taken for an outage: the servers went on answering for
+// over 10 s, and their removal lay outside the three seconds that explain shows.
 
 Test(explain_removal, a_refusal_is_shown_with_the_removal_of_the_services_servers)
 {
--- a/tests/unit/peer_messages_test.cpp
+++ b/tests/unit/peer_messages_test.cpp
@@ -24,7 +24,7 @@
         Remember { 1, 2 },
         Suspects { { { 1, 2, true }, { 3, 4, false } } },
         Status { { { 1, true, false, 7 } } },
-        ServerLoads { { { 1, 2 }, { 3, 0 } }, false, { 7, 0 } },
+        ServerLoads { { { 1, 2 }, { 3, 0 } }, false, true, { 7, 0 } },
         MirrorAsk { "servers", 12 },
         MirrorRows { "servers", 12, 1500, { false, 14, { { "a", "x", 13, false }, { "b", "", 14, true } } } },
         Forgiven { { 1, 0xffffffffffffffffULL } },
--- /dev/null
+++ b/tests/unit/shared_tables_test.cpp
@@ -0,0 +1,167 @@
+#include "FakeStore.h"
+#include "goldcrestcleat/fleet/SharedTables.h"
+
+#include <criterion/criterion.h>
+
+using namespace goldcrestcleat;
+using namespace goldcrestcleat::fleet;
+using namespace goldcrestcleat::store;
+
+namespace {
+
+constexpr routing::NodeKey SELF = 50;
+constexpr routing::NodeKey FIRST = 10;
+constexpr routing::NodeKey SECOND = 20;
+constexpr routing::NodeKey LAST = 90;
+
+struct Fixture {
+    loop::EventLoop loop;
+    FakeStore store;
+    std::vector<std::pair<routing::NodeKey, PeerMessage>> sent;
+    std::vector<PeerMessage> told;
+    int announced = 0;
+    std::vector<routing::NodeKey> up;
+    TableWatcher watcher { loop, store.port, "t", { [](const auto&) {}, [](bool, const std::string&) {} } };
+    SharedTables tables { loop, SELF,
+        { [this](routing::NodeKey peer, const PeerMessage& message) { sent.emplace_back(peer, message); },
+            [this](const PeerMessage& message) { told.push_back(message); }, [this] { ++announced; },
+            [this] { return up; } } };
+
+    Fixture() { tables.add(watcher); }
+
+    /// Reads the table, as it is at version 10.
+    void readTable()
+    {
+        watcher.start();
+        store.take().answer(answered({ { "a", "1", 3, false } }, 10));
+    }
+
+    /// Lets a peer report that it reaches the store, or not, and how far its rows go.
+    void report(routing::NodeKey peer, bool storeAnswers, bool isWatchOverdue = false, std::uint64_t newestRow = 0)
+    {
+        ServerLoads loads;
+        loads.storeAnswers = storeAnswers;
+        loads.isWatchOverdue = isWatchOverdue;
+        loads.newestRows = { newestRow };
+        tables.onPeerReport(peer, loads);
+    }
+
+    ServerLoads described() const
+    {
+        ServerLoads loads;
+        tables.describe(loads);
+        return loads;
+    }
+
+    void runFor(loop::TimeMs ms)
+    {
+        loop.after(ms, [this] { loop.stop(); });
+        loop.run();
+    }
+};
+
+} // namespace
+
+Test(shared_tables, the_two_smallest_that_reach_the_store_lead)
+{
+    Fixture f;
+    f.tables.updateLeading();
+    cr_assert(f.tables.isLeading(), "no peer is known");
+    f.report(FIRST, true);
+    f.report(LAST, true);
+    cr_assert(f.tables.isLeading());
+    f.report(SECOND, true);
+    cr_assert_not(f.tables.isLeading());
+    f.report(FIRST, false);
+    cr_assert(f.tables.isLeading());
+    f.report(FIRST, true);
+    f.tables.forgetPeer(SECOND);
+    cr_assert(f.tables.isLeading());
+}
+
+/// A late answer of the store moved the lead, and was also taken for an outage: entries that had vanished were kept for
+/// as long as such reports came.
+Test(shared_tables, a_peer_whose_watch_is_overdue_does_not_lead_but_is_not_without_the_store)
+{
+    Fixture f;
+    f.report(FIRST, true);
+    f.report(SECOND, true);
+    cr_assert_not(f.tables.isLeading());
+    f.report(SECOND, true, true);
+    cr_assert(f.tables.isLeading(), "its watch may be cut off without an error");
+    cr_assert_not(f.tables.hasPeerWithoutStore(), "a late answer does not show that the store is away");
+    f.report(SECOND, false);
+    cr_assert(f.tables.hasPeerWithoutStore());
+}
+
+Test(shared_tables, a_leaders_late_watch_is_reported_as_overdue_and_a_failed_call_as_no_answer)
+{
+    Fixture f;
+    f.readTable();
+    f.tables.updateLeading();
+    cr_assert_not(f.described().isWatchOverdue);
+    f.runFor(1'300); // longer than a leader's watch and what it may be late
+    cr_assert(f.described().isWatchOverdue);
+    cr_assert(f.described().storeAnswers, "no call has failed");
+    f.store.take().answer(failed(ReadOutcome::NoAnswer));
+    cr_assert_not(f.described().storeAnswers);
+}
+
+Test(shared_tables, small_changes_are_passed_on_and_large_ones_announced)
+{
+    Fixture f;
+    f.readTable();
+    cr_assert(f.told.empty(), "the first read follows no version that a peer could have");
+    f.store.take().answer(answered({ { "a", "2", 11, false } }, 11));
+    cr_assert_eq(f.told.size(), 1);
+    const auto& rows = std::get<MirrorRows>(f.told.front());
+    cr_assert_eq(rows.afterVersion, 10);
+    cr_assert(rows.changes.rows.front().value == "2");
+    f.runFor(300); // changes are grouped
+    f.store.take().answer(answered({ { "a", std::string(20'000, 'x'), 12, false } }, 12));
+    cr_assert_eq(f.told.size(), 1);
+    cr_assert_eq(f.announced, 1);
+}
+
+Test(shared_tables, who_is_behind_asks_the_peer_when_the_store_does_not_help)
+{
+    Fixture f;
+    f.readTable();
+    f.report(FIRST, true, false, 12);
+    cr_assert(f.sent.empty(), "the store is asked first");
+    f.runFor(SharedTables::REPAIR_PERIOD_MS + 50);
+    f.report(FIRST, true, false, 12);
+    cr_assert_eq(f.sent.size(), 1);
+    cr_assert_eq(f.sent.front().first, FIRST);
+    cr_assert_eq(std::get<MirrorAsk>(f.sent.front().second).afterVersion, 10);
+    f.tables.onRows(FIRST, MirrorRows { "t", 10, 0, { false, 12, { { "a", "2", 12, false } } } });
+    cr_assert_eq(f.watcher.mirror().version(), 12);
+    f.tables.onRows(FIRST, MirrorRows { "t", 15, 0, { false, 16, {} } });
+    cr_assert_eq(std::get<MirrorAsk>(f.sent.back().second).afterVersion, 12, "a gap is asked for");
+}
+
+Test(shared_tables, an_ask_is_answered_with_what_is_newer)
+{
+    Fixture f;
+    f.readTable();
+    f.tables.onAsk(LAST, { "t", 10 });
+    f.tables.onAsk(LAST, { "unknown", 0 });
+    cr_assert(f.sent.empty());
+    f.tables.onAsk(LAST, { "t", 2 });
+    cr_assert_eq(f.sent.size(), 1);
+    cr_assert_eq(std::get<MirrorRows>(f.sent.front().second).changes.rows.size(), 1);
+}
+
+Test(shared_tables, one_peer_is_asked_by_turns_while_the_store_does_not_answer)
+{
+    Fixture f;
+    f.readTable();
+    f.up = { FIRST, LAST };
+    f.tables.repair();
+    cr_assert(f.sent.empty(), "the store answers");
+    f.store.take().answer(failed(ReadOutcome::NoAnswer));
+    f.tables.repair();
+    f.tables.repair();
+    cr_assert_eq(f.sent.size(), 2);
+    cr_assert_neq(f.sent[0].first, f.sent[1].first);
+}
