Bound callers' connections and accept those that wait together

One caller was accepted for each turn of the loop; each accept walked over all sessions; kept connections of callers used up the descriptors (8,562 at the largest VM, limit 8,400); the failed accept was swallowed without a line, and the loop turned without end; requests that had waited unread were passed on though their callers had closed. Ruled out: the engines (1,146 of 15,046 arrivals rejected); waiting inside the daemon (it has no queue). Change: up to 32 callers are accepted in a turn; from 35% of the descriptors on each answer ends its connection, from half on new ones are closed unread, with a line; without a descriptor accepting pauses for 50 ms, with a line; the first request of a connection, and those read late, are dropped when their caller has closed. The limit comes from the platform's settings.

--- a/src/goldcrestcleat/gateway/FrontGateway.cpp
+++ b/src/goldcrestcleat/gateway/FrontGateway.cpp
@@ -6,6 +6,22 @@
 
 using errors::ResultCode;
 
+namespace {
+
+    // Shares of the descriptors that callers' connections may take; each request needs one more towards its server, and
+    // the peers need some. From the first share on, connections end with their answer, which frees those of idle
+    // callers.
+    constexpr double CROWDED_SHARE = 0.35;
+    constexpr double FULL_SHARE = 0.5;
+
+    http::ServerCapacity capacityFor(int descriptors)
+    {
+        return { static_cast<std::size_t>(CROWDED_SHARE * descriptors),
+            static_cast<std::size_t>(FULL_SHARE * descriptors) };
+    }
+
+} // namespace
+
 FrontGateway::FrontGateway(forwarding::RoutedEnvironment& env, const EntryDialect& entry, Hooks hooks)
     : env_(env)
     , entryDialect_(entry)
@@ -17,6 +33,10 @@
 {
     const auto& settings = env_.settings;
     callers_ = listen(settings.self.caller, [this](const http::Exchange::Ptr& exchange) { onCall(exchange); });
+    callers_->setCapacity(capacityFor(settings.descriptors));
+    callers_->onTurnedAway = [this](const std::string& reason) {
+        env_.log.decision("caller-turned-away", { { "reason", reason } });
+    };
     readiness_
         = listen(settings.readinessAddress, [this](const http::Exchange::Ptr& exchange) { onReadiness(exchange); });
     if (!settings.entryAddress.empty())
--- a/src/goldcrestcleat/http/Server.cpp
+++ b/src/goldcrestcleat/http/Server.cpp
@@ -18,6 +18,7 @@
 
     constexpr std::size_t MAX_PIPELINED_BYTES = 64 * 1024;
     constexpr loop::TimeMs SESSION_CHECK_MS = 250;
+    constexpr loop::TimeMs LATE_MS = 100; // a fifth of the time for which work may go on after its caller has left
     constexpr loop::TimeMs LINGER_MS = 1000; // time for a caller to read an early answer while it still sends
 
     std::string responseHead(int status, const Fields& fields)
@@ -69,7 +70,7 @@
     if (!session || answered_)
         return;
     answered_ = true;
-    const bool keepAlive = head_.getKeepAlive() && !session->isDraining();
+    const bool keepAlive = head_.getKeepAlive() && !session->endsAfterAnswer();
     Fields all = fields;
     all.emplace_back("Content-Length", std::to_string(body.size()));
     all.emplace_back("Connection", keepAlive ? "Keep-Alive" : "close");
@@ -88,7 +89,7 @@
     streaming_ = true;
     Fields all = fields;
     all.emplace_back("Transfer-Encoding", "chunked");
-    all.emplace_back("Connection", session->isDraining() ? "close" : "Keep-Alive");
+    all.emplace_back("Connection", session->endsAfterAnswer() ? "close" : "Keep-Alive");
     session->write(responseHead(status, all));
 }
 
@@ -107,7 +108,7 @@
     answered_ = true;
     streaming_ = false;
     session->write("0\r\n\r\n");
-    session->endExchange(head_.getKeepAlive() && !session->isDraining());
+    session->endExchange(head_.getKeepAlive() && !session->endsAfterAnswer());
 }
 
 void Exchange::abort()
@@ -156,6 +157,13 @@
     connection_ = loop::Connection::adopt(server_.loop_, socket_, std::move(hooks));
 }
 
+/// Once an answer has said that it is the last one, it is.
+bool ServerSession::endsAfterAnswer()
+{
+    draining_ = draining_ || server_.isCrowded();
+    return draining_;
+}
+
 void ServerSession::write(std::string_view bytes)
 {
     lastProgress_ = server_.loop_.now();
@@ -252,6 +260,14 @@
 {
     requestEnded_ = true;
     exchange_->arrivedAt_ = requestStart_;
+    // Where requests had to wait to be read, some of their callers have left, which shows only after what they sent.
+    const bool mayHaveWaited = isFirstRequest_ || server_.loop_.lateMs() > LATE_MS;
+    isFirstRequest_ = false;
+    if (mayHaveWaited && connection_->hasPeerClosed()) {
+        connection_->close();
+        onClose();
+        return;
+    }
     server_.onRequest_(exchange_);
 }
 
@@ -304,6 +320,7 @@
     , onFault_(std::move(onFault))
     , listener_(loop, address, [this](const Poco::Net::StreamSocket& socket) { accept(socket); })
 {
+    listener_.onExhausted = [this](const std::string& reason) { turnAway(reason); };
     checkSessions();
 }
 
@@ -340,7 +357,12 @@
 
 void Server::accept(const Poco::Net::StreamSocket& socket)
 {
-    dropFinished();
+    if (sessions_.size() >= capacity_.full)
+        dropFinished();
+    if (sessions_.size() >= capacity_.full) {
+        turnAway("too many callers are connected");
+        return; // the socket closes with its last handle
+    }
     const auto session = std::make_shared<ServerSession>(*this, socket);
     sessions_.push_back(session);
     session->start();
@@ -348,6 +370,12 @@
         session->setDraining();
 }
 
+void Server::turnAway(const std::string& reason) const
+{
+    if (onTurnedAway)
+        onTurnedAway(reason);
+}
+
 void Server::dropFinished()
 {
     const auto finished = [](const auto& session) { return !session->isOpen(); };
--- a/src/goldcrestcleat/http/Server.h
+++ b/src/goldcrestcleat/http/Server.h
@@ -4,6 +4,7 @@
 #include "goldcrestcleat/loop/Connection.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <utility>
@@ -76,6 +77,12 @@
     loop::TimeMs writeStallMs = 30'000; ///< without the caller taking a byte
 };
 
+/// How many callers' connections a server keeps.
+struct ServerCapacity {
+    std::size_t crowded = std::numeric_limits<std::size_t>::max(); ///< from here on, each answer ends its connection
+    std::size_t full = std::numeric_limits<std::size_t>::max(); ///< from here on, new connections are closed unread
+};
+
 /// An HTTP/1.1 listener; each session handles one request at a time, later ones wait in its buffer.
 class Server {
 public:
@@ -92,6 +99,11 @@
     void setLimits(const Limits& limits) { limits_ = limits; }
     void setTimeouts(const ServerTimeouts& timeouts) { timeouts_ = timeouts; }
 
+    void setCapacity(const ServerCapacity& capacity) { capacity_ = capacity; }
+
+    /// Called when a new connection is closed unread, or not even accepted, with the reason; may be unset.
+    std::function<void(const std::string& reason)> onTurnedAway;
+
     /// Makes every answer from now on the last of its connection; idle connections stay open.
     void closeAfterAnswers();
 
@@ -107,15 +119,18 @@
     friend class ServerSession;
 
     void accept(const Poco::Net::StreamSocket& socket);
+    void turnAway(const std::string& reason) const;
+    bool isCrowded() const { return sessions_.size() >= capacity_.crowded; }
     void dropFinished();
     void checkSessions();
 
     loop::EventLoop& loop_;
     Limits limits_;
     ServerTimeouts timeouts_;
+    ServerCapacity capacity_;
     Handler onRequest_;
     FaultHandler onFault_;
-    std::vector<std::shared_ptr<ServerSession>> sessions_;
+    std::vector<std::shared_ptr<ServerSession>> sessions_; // some may have ended since the last check
     loop::Listener listener_;
     bool draining_ = false;
     std::shared_ptr<int> token_ = std::make_shared<int>(0); // expires with the server, and its timer with it
--- a/src/goldcrestcleat/http/ServerSession.h
+++ b/src/goldcrestcleat/http/ServerSession.h
@@ -20,7 +20,9 @@
     /// Closes the connection when the caller took too long.
     void checkTime();
 
-    bool isDraining() const { return draining_; }
+    /// True when the answer that is written now is the last one of this connection.
+    bool endsAfterAnswer();
+
     std::size_t backlog() const { return connection_->pendingOutput(); }
 
 private:
@@ -40,6 +42,7 @@
     Exchange::Ptr exchange_; // the open request, if any
     bool requestEnded_ = false;
     bool draining_ = false;
+    bool isFirstRequest_ = true;
     bool lingering_ = false; // answered before the request ended; the rest of it is read and dropped
     loop::TimeMs lastProgress_ = 0;
     loop::TimeMs requestStart_ = 0; // 0 between requests
--- a/src/goldcrestcleat/loop/Connection.cpp
+++ b/src/goldcrestcleat/loop/Connection.cpp
@@ -5,7 +5,9 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketImpl.h>
 
+#include <cerrno>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace goldcrestcleat::loop {
 
@@ -16,6 +18,13 @@
     constexpr std::size_t READ_CHUNK_BYTES = 64 * 1024;
     constexpr int LISTEN_BACKLOG = 1024;
 
+    // Callers accepted in one turn of the loop. With one only, long turns under load would let the queue of new
+    // connections fill up; a bound leaves time for those that are connected.
+    constexpr int MAX_ACCEPTS = 32;
+    constexpr TimeMs EXHAUSTED_PAUSE_MS = 50; // a descriptor is free again when a request has ended
+
+    bool isExhaustion(int code) { return code == EMFILE || code == ENFILE || code == ENOBUFS || code == ENOMEM; }
+
     // A path that swallows packets shows no error by itself. These end a connection about two seconds after the other
     // side fell silent, so that a new one is there before a daemon is held to its bounds again, three seconds after.
     constexpr int KEEPALIVE_IDLE_S = 1;
@@ -89,6 +98,14 @@
         close();
 }
 
+bool Connection::hasPeerClosed()
+{
+    if (state_ != State::Open)
+        return false;
+    char next = 0;
+    return ::recv(socket_.impl()->sockfd(), &next, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void Connection::setReading(bool reading)
 {
     reading_ = reading;
@@ -258,11 +275,27 @@
 
 void Listener::acceptReady()
 {
-    try {
-        onAccept_(socket_.acceptConnection());
-    } catch (const Poco::Exception&) {
-        // the caller gave up before it was accepted
+    for (int i = 0; i < MAX_ACCEPTS && open_; ++i) {
+        try {
+            onAccept_(socket_.acceptConnection());
+        } catch (const Poco::Exception& e) {
+            if (isExhaustion(e.code()))
+                pause(e.displayText());
+            return; // else nobody waits any more, or the caller gave up before it was accepted
+        }
     }
 }
 
+/// Leaves the callers that wait alone for a while: the socket stays readable, and the loop would turn without end.
+void Listener::pause(const std::string& reason)
+{
+    loop_.setModes(socket_, 0);
+    loop_.after(EXHAUSTED_PAUSE_MS, [this, weak = std::weak_ptr<int>(token_)] {
+        if (!weak.expired() && open_)
+            loop_.setModes(socket_, PollSet::POLL_READ);
+    });
+    if (onExhausted)
+        onExhausted(reason);
+}
+
 } // namespace goldcrestcleat::loop
--- a/src/goldcrestcleat/loop/Connection.h
+++ b/src/goldcrestcleat/loop/Connection.h
@@ -50,6 +50,9 @@
     /// Stops or restarts reading, so that TCP slows the sender.
     void setReading(bool reading);
 
+    /// Asks the system whether the other side has closed, without reading what it has sent.
+    bool hasPeerClosed();
+
     bool isOpen() const { return state_ != State::Closed; }
     bool isConnected() const { return state_ == State::Open; }
     std::size_t pendingOutput() const { return output_.size() - written_; }
@@ -100,13 +103,18 @@
     /// Stops accepting and frees the address.
     void close();
 
+    /// Called when the system has no descriptor left for a caller that waits; may be unset. Accepting pauses then.
+    std::function<void(const std::string& reason)> onExhausted;
+
 private:
     void acceptReady();
+    void pause(const std::string& reason);
 
     EventLoop& loop_;
     Poco::Net::ServerSocket socket_;
     AcceptHook onAccept_;
     bool open_ = true;
+    std::shared_ptr<int> token_ = std::make_shared<int>(0); // expires with the listener, and its timer with it
 };
 
 } // namespace goldcrestcleat::loop
--- a/src/goldcrestcleat/loop/EventLoop.h
+++ b/src/goldcrestcleat/loop/EventLoop.h
@@ -30,6 +30,9 @@
     /// Returns the steady time at which the current turn began, in ms.
     TimeMs now() const { return now_; }
 
+    /// Returns how much later than asked for the last turn began, in ms.
+    TimeMs lateMs() const { return lateMs_; }
+
     /// Runs a task once, `delayMs` from now. Complexity: O(log n) in open timers.
     TimerId after(TimeMs delayMs, Task task);
 
--- a/src/goldcrestcleat/settings/FrontSettings.cpp
+++ b/src/goldcrestcleat/settings/FrontSettings.cpp
@@ -15,6 +15,8 @@
 
     constexpr double MS_PER_SECOND = 1'000;
     constexpr double MAX_SECONDS = 3'600;
+    constexpr int MIN_DESCRIPTORS = 128; // fewer leave no room for callers beside servers and peers
+    constexpr int MAX_DESCRIPTORS = 100'000'000;
 
     loop::TimeMs readSeconds(ObjectReader& reader, const std::string& key, loop::TimeMs fallbackMs)
     {
@@ -55,6 +57,7 @@
     s.metricsAddress = reader.address("metricsAddress", "");
     s.storeAddress = reader.address("storeAddress");
     reader.object("bounds", [&](ObjectReader& member) { readBounds(member, s.bounds); });
+    s.descriptors = static_cast<int>(reader.integer("descriptors", MIN_DESCRIPTORS, MAX_DESCRIPTORS, s.descriptors));
     s.logLevel = reader.text("logLevel", s.logLevel);
     reader.finish();
     return s;
--- a/src/goldcrestcleat/settings/FrontSettings.h
+++ b/src/goldcrestcleat/settings/FrontSettings.h
@@ -27,6 +27,7 @@
     std::string metricsAddress; ///< empty for none
     std::string storeAddress;
     Bounds bounds;
+    int descriptors = 1'024; ///< files and sockets that the process may have open; the default is the usual limit
     std::string logLevel = "info";
 };
 
