--- a/tests/fleet/front_variants_test.cpp
+++ b/tests/fleet/front_variants_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <fstream>
+#include <thread>
 
 using namespace goldcrestcleat::harness;
 using nlohmann::json;
@@ -86,6 +87,30 @@
         cr_assert(rig.stream(i % 2, "/talk/6").isWhole, "a truncated run goes on elsewhere");
 }
 
+/// What waits behind full slots would be late; engines once took half of their slots besides.
+Test(variants, an_engine_with_a_fifth_more_than_its_slots_gets_no_more_and_the_caller_may_come_back)
+{
+    FrontRigOptions options;
+    options.daemons = 1;
+    options.engines = 1;
+    options.serverSlots = 10;
+    FrontRig rig(options);
+    routeOf(rig, "/talk/")["timeoutMs"] = 3'000;
+    rig.start();
+    rig.setServerFaults(FrontRig::engineName(0), { { "hangNext", 100 } });
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 12; ++i)
+        callers.emplace_back([&rig] { rig.stream(0, "/talk/5"); });
+    const bool areOpen = eventually([&] { return rig.serverEvents("run").size() == 12; });
+    const auto refused = rig.call(0, "GET", "/talk/5");
+    for (auto& caller : callers)
+        caller.join();
+    cr_assert(areOpen);
+    cr_assert_eq(refused.status, 503, "got %d", refused.status);
+    cr_assert_eq(refused.headers.count("Retry-After") + refused.headers.count("retry-after"), 1);
+    cr_assert_eq(rig.serverEvents("run").size(), 12, "what is refused does not run");
+}
+
 Test(variants, a_route_with_one_attempt_is_sent_once_whatever_its_kind)
 {
     FrontRigOptions options;
