Return each row that changed once, as it is now

Ten of eighteen engines were out of use from 30 s on. Their entries had lapsed in an outage and were back in the same answer of the feed, which holds every change; the mirror returned both, the daemon applies removals last, so that servers that were back counted as vanished, and their entries did not change again. Ruled out: peer links (4 peers up throughout), the bound of placement (it held among the engines left), the early report of late watches (the calls had failed: store-lost at 26.7 s). Change: what a later change of a row has overtaken is left out. The stand-in's feed gives every change too, as the users' store does; it used to give the last one, which hid the fault. Conclusion: mended.

--- a/src/goldcrestcleat/store/TableMirror.cpp
+++ b/src/goldcrestcleat/store/TableMirror.cpp
@@ -14,6 +14,7 @@
             changed.push_back(row);
     }
     version_ = std::max(version_, version);
+    keepLatest(changed);
     dropOldRemovals();
     assert(completeSince_ <= version_);
     return changed;
@@ -70,6 +71,13 @@
     return changes;
 }
 
+/// Leaves out what a later change of the same row has overtaken.
+void TableMirror::keepLatest(std::vector<VersionedRow>& changed) const
+{
+    const auto isOvertaken = [this](const VersionedRow& row) { return !(rows_.at(row.key) == row); };
+    changed.erase(std::remove_if(changed.begin(), changed.end(), isOvertaken), changed.end());
+}
+
 void TableMirror::dropOldRemovals()
 {
     while (removed_ > MAX_REMOVED) {
--- a/src/goldcrestcleat/store/TableMirror.h
+++ b/src/goldcrestcleat/store/TableMirror.h
@@ -25,7 +25,7 @@
     /// Removed rows that are remembered; older ones are dropped first, and changes before them sent as a whole table.
     static constexpr std::size_t MAX_REMOVED = 1'000;
 
-    /// Applies changes and moves the mirror's version forward; returns the rows that changed.
+    /// Applies changes and moves the mirror's version forward; returns the rows that changed, each once as it is now.
     std::vector<VersionedRow> apply(const std::vector<VersionedRow>& rows, std::uint64_t version);
 
     /// Takes over a whole table as of a version; rows that it lacks and that are not newer are removed.
@@ -47,6 +47,7 @@
 
 private:
     bool put(const VersionedRow& row);
+    void keepLatest(std::vector<VersionedRow>& changed) const;
     void dropOldRemovals();
 
     std::map<std::string, VersionedRow> rows_; // removed ones among them
--- a/standins/RowStore.cpp
+++ b/standins/RowStore.cpp
@@ -104,17 +104,20 @@
                 { { "rows", rows }, { "truncated", isTruncated }, { "ver", version_ }, { "nowMs", loop_.now() } });
         }
 
+        void set(const Name& name, const Row& row)
+        {
+            rows_[name] = row;
+            history_.emplace_back(name, row);
+        }
+
+        /// Returns every change, also those that a later one of the same row has overtaken.
         json changedAfter(const std::string& table, std::uint64_t after) const
         {
-            std::vector<std::pair<std::uint64_t, json>> changed;
-            for (const auto& [name, row] : rows_) {
+            json rows = json::array();
+            for (const auto& [name, row] : history_) {
                 if (name.first == table && row.version > after)
-                    changed.emplace_back(row.version, toJson(name, row));
+                    rows.push_back(toJson(name, row));
             }
-            std::sort(changed.begin(), changed.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-            json rows = json::array();
-            for (const auto& [version, row] : changed)
-                rows.push_back(row);
             return rows;
         }
 
@@ -162,9 +165,9 @@
             }
             ++version_;
             for (const auto& write : request.at("writes"))
-                rows_[{ write.at("table"), write.at("key") }] = { write.at("value"), version_, false };
+                set({ write.at("table"), write.at("key") }, { write.at("value"), version_, false });
             for (const auto& removal : request.at("remove"))
-                rows_[{ removal.at("table"), removal.at("key") }] = { "", version_, true };
+                set({ removal.at("table"), removal.at("key") }, { "", version_, true });
             truth_.write(loop_.now(), { { "event", "tx" }, { "writes", request["writes"].size() } });
             if (faults_.take("dropReplyNext"))
                 exchange.abort();
@@ -177,12 +180,12 @@
         void control(json request)
         {
             for (const auto& put : request.value("put", json::array())) {
-                rows_[{ put.at("table"), put.at("key") }]
-                    = { absl::Base64Escape(put.at("text").get<std::string>()), ++version_, false };
+                set({ put.at("table"), put.at("key") },
+                    { absl::Base64Escape(put.at("text").get<std::string>()), ++version_, false });
                 truth_.write(loop_.now(), { { "event", "put" }, { "key", put["key"] }, { "ver", version_ } });
             }
             for (const auto& remove : request.value("remove", json::array())) {
-                rows_[{ remove.at("table"), remove.at("key") }] = { "", ++version_, true };
+                set({ remove.at("table"), remove.at("key") }, { "", ++version_, true });
                 truth_.write(loop_.now(), { { "event", "remove" }, { "key", remove["key"] }, { "ver", version_ } });
             }
             if (request.value("compact", false)) {
@@ -201,6 +204,7 @@
         TruthLog truth_;
         Faults faults_;
         std::map<Name, Row> rows_;
+        std::vector<std::pair<Name, Row>> history_; // in order of versions
         std::list<std::shared_ptr<Watch>> watches_;
         std::uint64_t version_ = 1;
         std::uint64_t historyFrom_ = 0;
--- a/tests/unit/table_mirror_test.cpp
+++ b/tests/unit/table_mirror_test.cpp
@@ -50,6 +50,19 @@
     cr_assert(live(mirror).empty());
 }
 
+/// Servers whose entries had lapsed and were back in the same answer were taken for gone: both changes were returned, and
+/// removals are applied last.
+Test(table_mirror, a_row_that_changes_more_than_once_is_returned_once_as_it_is_now)
+{
+    TableMirror mirror;
+    mirror.replace({ row("a", "x", 3), row("b", "x", 4) }, 5);
+    const auto changed = mirror.apply({ removal("a", 6), row("b", "y", 7), row("a", "x", 8), row("b", "z", 9) }, 9);
+    cr_assert_eq(changed.size(), 2);
+    cr_assert((changed[0] == row("a", "x", 8)) && (changed[1] == row("b", "z", 9)), "in the order of their versions");
+    const auto gone = mirror.apply({ row("c", "x", 10), removal("c", 11) }, 11);
+    cr_assert(gone.size() == 1 && gone.front().isRemoved);
+}
+
 Test(table_mirror, a_whole_read_removes_what_it_lacks_but_not_what_is_newer)
 {
     TableMirror mirror;
