Move the taking over of servers' rows out of the daemon

Change: upstreams::ServerFeed, with a test of three cases; nothing else is changed. Measured: server_feed_test and all 24 of front_test pass.

--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -7,6 +7,7 @@
 #include "goldcrestcleat/store/CountedStore.h"
 #include "goldcrestcleat/store/TableWatcher.h"
 #include "goldcrestcleat/upstreams/ServerChecks.h"
+#include "goldcrestcleat/upstreams/ServerFeed.h"
 
 #include <algorithm>
 #include <atomic>
@@ -64,6 +65,9 @@
               watchHooks(ports_.configurationTable, [this](const Rows& rows) { onConfigurationRows(rows); }))
         , serversWatch_(loop_, store_, ports_.serversTable,
               watchHooks(ports_.serversTable, [this](const Rows& rows) { onServerRows(rows); }))
+        , serverFeed_(loop_, log_, servers_,
+              { ports_.parseServer, [this] { return vanishRule(); },
+                  [this](routing::NodeKey server) { onServerEnded(server); } })
         , checks_(loop_, client_, servers_, log_)
         , membership_(loop_, settings_, log_, store_, servers_, quarantine_,
               { [this] { updateBudget(); }, [this](routing::NodeKey server) { onPeerLostServer(server); } })
@@ -184,34 +188,10 @@
 
     void onServerRows(const Rows& rows)
     {
-        std::vector<std::string> vanished;
-        for (const auto& row : rows) {
-            if (row.isRemoved)
-                vanished.push_back(row.key);
-            else
-                applyServer(row);
-        }
-        if (!vanished.empty())
-            applyVanished(vanished);
+        serverFeed_.onRows(rows, serversWatch_.mirror().version());
         updateReady();
     }
 
-    void applyServer(const store::VersionedRow& row)
-    {
-        try {
-            const auto entry = ports_.parseServer(row.key, row.value);
-            log_.decision("server",
-                { { "server", entry.id }, { "service", entry.service }, { "address", entry.address },
-                    { "leaving", entry.isLeaving }, { "row", row.version } });
-            if (servers_.put(entry, loop_.now()))
-                onServerEnded(routing::nodeKey(entry.id));
-        } catch (const errors::Error& e) {
-            log_.warn("server-entry-invalid",
-                { { "server", row.key }, { "code", static_cast<int>(e.code()) }, { "reason", e.what() } });
-            servers_.remove(row.key);
-        }
-    }
-
     void onServerUnreachable(routing::NodeKey server)
     {
         onServerEnded(server);
@@ -243,16 +223,10 @@
             membership_.report(suspicion);
     }
 
-    void applyVanished(const std::vector<std::string>& ids)
+    upstreams::VanishRule vanishRule() const
     {
         const bool mayHaveLapsed = isStoreAway() || loop_.now() < serversWatch_.lapsedUntil();
-        servers_.vanish(ids, { mayHaveLapsed, settings_.bounds.upstreamLeavesMs }, loop_.now());
-        for (const auto& id : ids) {
-            const auto* server = servers_.find(routing::nodeKey(id));
-            log_.decision("server-removed",
-                { { "server", id }, { "row", serversWatch_.mirror().version() },
-                    { "mayHaveLapsed", server && server->mayHaveLapsed } });
-        }
+        return { mayHaveLapsed, settings_.bounds.upstreamLeavesMs };
     }
 
     bool isStoreAway() const { return !serversWatch_.isAnswering() || membership_.hasPeerWithoutStore(); }
@@ -388,6 +362,7 @@
     std::optional<store::VersionedRow> pendingConfiguration_; // to be read in the next turn
     store::TableWatcher configurationWatch_;
     store::TableWatcher serversWatch_;
+    upstreams::ServerFeed serverFeed_;
     upstreams::ServerChecks checks_;
     fleet::Membership membership_;
     forwarding::Environment requests_;
