--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-    // Requests that a server may have, as a multiple of its slots. A stream holds its slot for about a second, so that few
-    // that wait for one are on time; calls of other services last milliseconds, and servers queue a few themselves.
+    // Requests that a server may have, as a multiple of its slots. A stream holds its slot for about a second, so that
+    // few that wait for one are on time; calls of other services last milliseconds, and servers queue a few themselves.
     constexpr double ENGINE_QUEUE_FACTOR = 1.2;
     constexpr double SERVICE_QUEUE_FACTOR = 3.0;
 
--- a/tests/unit/table_mirror_test.cpp
+++ b/tests/unit/table_mirror_test.cpp
@@ -50,8 +50,8 @@
     cr_assert(live(mirror).empty());
 }
 
-/// Servers whose entries had lapsed and were back in the same answer were taken for gone: both changes were returned, and
-/// removals are applied last.
+/// Servers whose entries had lapsed and were back in the same answer were taken for gone: both changes were returned,
+/// and removals are applied last.
 Test(table_mirror, a_row_that_changes_more_than_once_is_returned_once_as_it_is_now)
 {
     TableMirror mirror;
