Leave the test without descriptors out under the sanitizers

The sanitizer's check of virtual tables opens a pipe to look at memory; the test leaves no descriptor, and the check takes every object for broken. Shown by a program of ten lines, which calls a virtual function of a live object: built with the same flags it ends with that report when RLIMIT_NOFILE is 3, and runs without the limit. Ruled out: a use after the end; the address is a live one of the address sanitizer. Conclusion: the check was wrong under that sanitizer alone; nothing is eased elsewhere.

--- a/tests/unit/server_capacity_test.cpp
+++ b/tests/unit/server_capacity_test.cpp
@@ -114,6 +114,9 @@
     cr_assert(received(stays).find("200") != std::string::npos);
 }
 
+// Not under the sanitizers: their check of virtual tables opens a pipe to look at memory, and takes every object for
+// broken when no descriptor is left for it.
+#ifndef __SANITIZE_ADDRESS__
 /// The error was swallowed, and the loop turned without end for as long as a caller waited.
 Test(server_capacity, accepting_pauses_while_no_descriptor_is_left, .timeout = 10)
 {
@@ -129,3 +132,4 @@
     cr_assert_geq(f.turnedAway.size(), 1);
     cr_assert_leq(f.turnedAway.size(), 10, "one try each 50 ms");
 }
+#endif
