Log the parts of interrupted prompts and the contents suspected of a crash

Cause: the logs could not tell whether ends of servers were missed, counted for a content that never comes twice, or cleared by answers. Change: broken names the shared parts and the time since the head; server-crashed and suspicion-cleared are new. No decision changes.

--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -243,8 +243,16 @@
     /// Reports the requests that are suspected of having crashed a server.
     void onServerEnded(routing::NodeKey server)
     {
-        for (const auto& suspicion : crashAttribution_.onProcessEnded(server, loop_.now()))
+        const auto suspicions = crashAttribution_.onProcessEnded(server, loop_.now());
+        if (suspicions.empty())
+            return;
+        nlohmann::json contents = nlohmann::json::array();
+        for (const auto& suspicion : suspicions) {
+            contents.push_back(admission::toHex(suspicion.fingerprint));
             membership_.reportSuspicion(suspicion);
+        }
+        const auto* entry = serverRegistry_.find(server);
+        log_.info("server-crashed", { { "server", entry ? entry->entry.id : "" }, { "contents", contents } });
     }
 
     upstreams::RemovalPolicy removalPolicy() const
--- a/src/goldcrestcleat/admission/Quarantine.cpp
+++ b/src/goldcrestcleat/admission/Quarantine.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestcleat/admission/Quarantine.h"
 
+#include <absl/strings/str_cat.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -9,6 +10,7 @@
 
 namespace {
 
+    constexpr std::uint64_t PART_SEED = 1; // keeps hashes of parts apart from those of contents
     constexpr std::size_t MAX_BAN_DOUBLINGS = 10; // bounds the shift; RETENTION_MS caps the ban
 
 } // namespace
@@ -19,6 +21,13 @@
     return XXH3_64bits_withSeed(body.data(), body.size(), seed);
 }
 
+Fingerprint fingerprintOfPart(const std::string& partId)
+{
+    return XXH3_64bits_withSeed(partId.data(), partId.size(), PART_SEED);
+}
+
+std::string toHex(Fingerprint fingerprint) { return absl::StrCat(absl::Hex(fingerprint, absl::kZeroPad16)); }
+
 bool Quarantine::record(const Suspicion& suspicion, loop::TimeMs now)
 {
     if (entries_.size() >= MAX_ENTRIES && entries_.count(suspicion.fingerprint) == 0)
--- a/src/goldcrestcleat/admission/Quarantine.h
+++ b/src/goldcrestcleat/admission/Quarantine.h
@@ -14,6 +14,12 @@
 
 Fingerprint fingerprintOf(const std::string& workspace, const std::string& body);
 
+/// Returns the hash of a part of a prompt, which requests of all workspaces may share.
+Fingerprint fingerprintOfPart(const std::string& partId);
+
+/// Returns a hash as it is written to logs: 16 hexadecimal digits.
+std::string toHex(Fingerprint fingerprint);
+
 /// A crash that a request may have caused: the request was running on the upstream when its process ended.
 struct Suspicion {
     Fingerprint fingerprint = 0;
--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -111,8 +111,10 @@
 
 void Membership::clearSuspicion(admission::Fingerprint fingerprint)
 {
-    if (quarantine_.clearSuspicion(fingerprint))
-        links_.broadcast(ClearedSuspects { { fingerprint } });
+    if (!quarantine_.clearSuspicion(fingerprint))
+        return;
+    log_.infoRateLimited("suspicion-cleared", { { "content", admission::toHex(fingerprint) } });
+    links_.broadcast(ClearedSuspects { { fingerprint } });
 }
 
 std::vector<std::string> Membership::entryAddresses() const
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -60,6 +60,7 @@
         EventReader events;
         std::string body; ///< of a response that is not a stream
         loop::TimeMs sentAt = 0;
+        std::optional<loop::TimeMs> headAt; ///< when the response head arrived
     };
 
     // Placement and sending.
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -41,6 +41,7 @@
 void ForwardedRequest::onHead(const Poco::Net::HTTPResponse& head)
 {
     attempt_.head = hooks_.readHead(head);
+    attempt_.headAt = env_.loop.now();
     if (hooks_.onHead)
         hooks_.onHead(attempt_.placement, attempt_.head);
     if (timeToHeadMs_ == 0)
@@ -206,7 +207,9 @@
     const bool wasClosedWhileIdle = attempt_.call && attempt_.call->isReused() && attempt_.call->receivedBytes() == 0;
     hooks_.explain("broken",
         { { "server", attempt_.placement.serverId }, { "reason", reason }, { "reused", wasClosedWhileIdle },
-            { "sinceSendMs", env_.loop.now() - attempt_.sentAt }, { "lastEvent", position_.value_or(0) } });
+            { "sinceSendMs", env_.loop.now() - attempt_.sentAt },
+            { "sinceHeadMs", attempt_.headAt ? env_.loop.now() - *attempt_.headAt : -1 },
+            { "lastEvent", position_.value_or(0) } });
     ++possibleRuns_;
     cancelCall();
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -40,6 +40,8 @@
     constexpr loop::TimeMs BACK_OFF_SPREAD_DIVISOR = 4;
     constexpr loop::TimeMs MAX_BACK_OFF_SPREAD_MS = 500;
 
+    constexpr std::size_t MAX_LOGGED_PARTS = 8; // limits the length of a log line
+
     std::uint64_t crashIdOf(NodeKey server, const std::string& requestId)
     {
         return XXH3_64bits_withSeed(requestId.data(), requestId.size(), server);
@@ -374,10 +376,21 @@
             { { "server", summary.serverId }, { "attempts", summary.attempts }, { "firstMs", summary.timeToHeadMs } });
 }
 
+/// Returns the hashes of the first prompt segments that the request shares with others, for the log.
+std::vector<std::string> RoutedCall::sharedParts() const
+{
+    std::vector<std::string> parts;
+    for (std::size_t i = 0; i + 1 < inbound_.prompt.size() && i < MAX_LOGGED_PARTS; ++i)
+        parts.push_back(admission::toHex(admission::fingerprintOfPart(inbound_.prompt[i].id)));
+    return parts;
+}
+
 void RoutedCall::explain(const std::string& event, nlohmann::json fields) const
 {
     fields["request"] = inbound_.requestId;
     fields["route"] = route_ ? route_->name : "";
+    if (event == "broken")
+        fields["parts"] = sharedParts();
     fields["service"] = service_;
     fields["config"] = routes_ ? routes_->version() : 0;
     fields["ms"] = env_.requests.loop.now() - exchange_->arrivedAt();
--- a/src/goldcrestcleat/forwarding/RoutedCall.h
+++ b/src/goldcrestcleat/forwarding/RoutedCall.h
@@ -76,6 +76,7 @@
     loop::TimeMs retryAfterMs(errors::ResultCode code) const;
     void refuseUnadmitted(errors::ResultCode code);
     void onFinished(const RequestSummary& summary) const;
+    std::vector<std::string> sharedParts() const;
     void explain(const std::string& event, nlohmann::json fields) const;
 
     RoutedEnvironment& env_;
