--- a/standins/SignedServer.cpp
+++ b/standins/SignedServer.cpp
@@ -10,12 +10,15 @@
 
     constexpr loop::TimeMs EVENT_GAP_MS = 10;
 
+    constexpr const char* CRASHING_PART = "dead";
+    constexpr loop::TimeMs CRASH_DELAY_MS = 40;
+
     /// A server of the users' platform: signs its answers, streams events with ids, and rejects requests that expect
     /// another instance.
     ///
     /// A path under `/chat/` or `/talk/` ends with the number of events of its stream. `gapMs` and `eventsPerStep` set
-    /// the rate of the events. `leaving` makes each
-    /// response announce that the server leaves.
+    /// the rate of the events. `leaving` makes each response announce that the server leaves. A stream for a prompt
+    /// with the part CRASHING_PART crashes the server shortly after the head of the answer.
     class SignedServer {
     public:
         SignedServer(loop::EventLoop& eventLoop, const std::string& truthPath, const json& switches)
@@ -61,7 +64,8 @@
                     { "body", exchange.body() }, { "workspace", exchange.header("Tenant") },
                     { "key", exchange.header("Api-Key") }, { "deadline", exchange.header("Request-Deadline") },
                     { "hold", exchange.header("Hold") }, { "lastEvent", exchange.header("Last-Event-Id") },
-                    { "fetch", exchange.header("Kv-Fetch") }, { "priority", exchange.header("Request-Priority") } });
+                    { "fetch", exchange.header("Kv-Fetch") }, { "priority", exchange.header("Request-Priority") },
+                    { "prompt", exchange.header("Prompt-Prefix") } });
         }
 
         /// Rejects a request; `backOffS` makes the server want no others for so many seconds.
@@ -128,6 +132,10 @@
             stream->next = lastEventId.empty() ? 1 : std::stoull(lastEventId) + 1;
             stream->last = std::stoull("0" + path.substr(path.rfind('/') + 1));
             exchange->startStream(200, answerFields(*exchange));
+            if (exchange->header("Prompt-Prefix").find(std::string(CRASHING_PART) + ":") != std::string::npos) {
+                loop_.after(CRASH_DELAY_MS, [] { std::_Exit(1); });
+                return;
+            }
             sendEvent(stream);
         }
 
