--- a/src/goldcrestcleat/Daemon.cpp
+++ b/src/goldcrestcleat/Daemon.cpp
@@ -32,6 +32,7 @@
         , directory_(settings_, loadView_)
         , profiles_(settings_.profiles)
         , affinityTokenSigner_(settings_.fleetSecret)
+        , quarantine_(settings_.self.id)
         , httpClient_(loop_, { MAX_ENGINE_HEAD_BYTES, settings_.answerBytes })
         , tableClient_(loop_, settings_.platformAddress, settings_.timeouts.platformMs)
         , configStore_(loop_, tableClient_, configCache_)
@@ -81,6 +82,15 @@
     void connectHooks()
     {
         configCache_.onChange = [this](const fleet::ConfigCache::Item& item) { onConfigChanged(item); };
+        fleet_.onBan = [this](admission::Fingerprint fingerprint) { onBan(fingerprint); };
+        auto& quarantine = fleet_.quarantine();
+        forwardingEnvironment_.onAnswerBegun
+            = [&quarantine](const auto& fingerprints) { quarantine.recordAnswer(fingerprints); };
+        forwardingEnvironment_.claimProbe = [&quarantine](admission::Fingerprint fingerprint, const auto& onDone) {
+            quarantine.claimProbe(fingerprint, onDone);
+        };
+        forwardingEnvironment_.onProbeAnswered
+            = [&quarantine](admission::Fingerprint fingerprint) { quarantine.onProbeAnswered(fingerprint); };
         directory_.onChange = [this](const upstreams::Upstream& upstream) { onUpstreamChanged(upstream); };
         fleet_.tickets().onMove
             = [this](routing::NodeKey engine) { requests::moveYoungestStreamFrom(forwardingEnvironment_, engine); };
@@ -113,10 +123,29 @@
             profiles_.apply(item.id, item.version, item.value);
         else if (item.kind == fleet::UPSTREAM_KIND)
             directory_.setRetired(item.id, item.value.value("retired", false));
+        else if (item.kind == fleet::QUARANTINE_KIND)
+            onVerdictSaved(item);
         else if (item.kind == fleet::STOP_KIND && item.id == settings_.self.id)
             onStopChanged(item.value.value("planned", false));
     }
 
+    void onVerdictSaved(const fleet::ConfigCache::Item& item)
+    {
+        try {
+            fleet_.quarantine().load({ admission::parseVerdict(item.value) });
+        } catch (const std::exception& e) {
+            log_.warn("quarantine-row-unreadable", { { "key", item.id }, { "reason", e.what() } });
+        }
+    }
+
+    /// Gives up open requests that are refused from now on.
+    void onBan(admission::Fingerprint fingerprint)
+    {
+        const auto openRequests = forwardingEnvironment_.openRequests;
+        for (const auto& request : openRequests)
+            request->onBan(fingerprint);
+    }
+
     /// Ignores stops that were planned before this process became ready: they were meant for an earlier process.
     void onStopChanged(bool isPlanned)
     {
--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -27,7 +27,6 @@
     constexpr std::size_t MAX_ANSWER_BODY_BYTES = 64 * 1024 * 1024; // a complete stream counts as one body
     constexpr loop::TimeMs CONNECT_TIMEOUT_MS = 400; // TCP retransmits a lost SYN only after 1 s
     constexpr std::size_t CONTEXT_MEMORY_BYTES = 512 * 1024;
-    constexpr loop::TimeMs FIRST_QUARANTINE_MS = 20'000; // a request that crashes servers runs at most twice a minute
     constexpr loop::TimeMs SETTINGS_POLL_INTERVAL_MS = 1'000; // the file may change without a signal to reload it
     constexpr loop::TimeMs STOP_POLL_INTERVAL_MS = 50;
     constexpr loop::TimeMs SUMMARY_INTERVAL_MS = 1'000;
@@ -56,7 +55,7 @@
         , adapter_(std::move(adapter))
         , log_(settings_.self.id, settings_.logLevel, observe::Log::Sink::StandardOutput)
         , random_(std::random_device()())
-        , quarantine_(FIRST_QUARANTINE_MS)
+        , quarantine_(settings_.self.id)
         , contextMemory_(CONTEXT_MEMORY_BYTES)
         , httpClient_(loop_, { MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BODY_BYTES })
         , store_(store::countCalls(adapter_.makeStore(loop_, settings_.storeAddress),
@@ -72,20 +71,21 @@
         , membership_(loop_, settings_, log_, store_, serverRegistry_, quarantine_,
               { [this] { updateRetryBudget(); }, [this](routing::NodeKey server) { onServerUnavailableAtPeer(server); },
                   [this] { return paceTracker_.observedSlow(loop_.now()); },
-                  [this](routing::NodeKey server, double slowness) {
-                      paceTracker_.report(server, slowness, loop_.now());
-                  } })
+                  [this](
+                      routing::NodeKey server, double slowness) { paceTracker_.report(server, slowness, loop_.now()); },
+                  [this](admission::Fingerprint fingerprint) { onBan(fingerprint); }, [this] { updateReadiness(); } })
         , forwardingEnvironment_ { loop_, httpClient_, metrics_, quarantine_, {}, nullptr }
         , routedEnvironment_ { forwardingEnvironment_, settings_, log_, serverRegistry_, paceTracker_,
             serviceDurations_, retryBudget_, contextMemory_, adapter_.dialect, random_,
-            [this] { return membership_.loadAgeMs(); }, [this] { return routeTable_; },
+            [this] { return membership_.loadAgeMs(); }, [this] { return routesInForce(); },
             [this](routing::NodeKey server) { onConnectFailed(server); },
             [this](routing::NodeKey server) { reachabilityChecker_.suspect(server, Source::Local); },
             [this](const upstreams::ServerInstance& instance) { onServerLeaving(instance); },
-            [this](routing::NodeKey server, admission::Fingerprint fingerprint, std::uint64_t crashId) {
-                crashAttribution_.onAnswerInterrupted(server, fingerprint, crashId, loop_.now());
-            },
-            [this](admission::Fingerprint fingerprint) { membership_.clearSuspicion(fingerprint); } }
+            [this](routing::NodeKey server, const admission::InterruptedRun& run, bool wasClosedWhileIdle) {
+                crashAttribution_.onAnswerInterrupted(server, run, loop_.now());
+                if (!wasClosedWhileIdle) // otherwise the next request to the server detects its end
+                    reachabilityChecker_.checkEnded(server);
+            } }
         , gateway_(routedEnvironment_, adapter_.entryDialect,
               { [this] { return isReady(); }, [this] { return membership_.entryAddresses(); } })
     {
@@ -135,16 +135,28 @@
         };
         reachabilityChecker_.onUnreachable
             = [this](routing::NodeKey server, Source source) { onServerUnavailable(server, source); };
+        reachabilityChecker_.onEnded = [this](routing::NodeKey server) { onServerEnded(server); };
         serverRegistry_.isStoreUnavailable = [this] { return isStoreUnavailable(); };
         forwardingEnvironment_.onFinished = [this](const forwarding::RequestSummary& summary) {
             secondSummary_.add(summary.kind, summary.code, summary.timeToHeadMs);
         };
+        auto& quarantine = membership_.quarantine();
+        forwardingEnvironment_.onAnswerBegun
+            = [&quarantine](const auto& fingerprints) { quarantine.recordAnswer(fingerprints); };
+        forwardingEnvironment_.claimProbe = [&quarantine](admission::Fingerprint fingerprint, const auto& onDone) {
+            quarantine.claimProbe(fingerprint, onDone);
+        };
+        forwardingEnvironment_.onProbeAnswered
+            = [&quarantine](admission::Fingerprint fingerprint) { quarantine.onProbeAnswered(fingerprint); };
         membership_.shareTable(configurationWatcher_);
         membership_.shareTable(serversWatcher_);
         updateRetryBudget();
     }
 
-    bool isReady() const { return routeTable_ && serversWatcher_.mirror().isLoaded() && !isStopping_; }
+    bool isReady() const { return routesInForce() && serversWatcher_.mirror().isLoaded() && !isStopping_; }
+
+    /// Returns null before the verdicts of the quarantine are known: a request that they refuse must not be forwarded.
+    routes::RouteTable::Ptr routesInForce() const { return membership_.hasVerdicts() ? routeTable_ : nullptr; }
 
     void handleSignals()
     {
@@ -243,16 +255,16 @@
     /// Reports the requests that are suspected of having crashed a server.
     void onServerEnded(routing::NodeKey server)
     {
-        const auto suspicions = crashAttribution_.onProcessEnded(server, loop_.now());
-        if (suspicions.empty())
-            return;
-        nlohmann::json contents = nlohmann::json::array();
-        for (const auto& suspicion : suspicions) {
-            contents.push_back(admission::toHex(suspicion.fingerprint));
-            membership_.reportSuspicion(suspicion);
-        }
-        const auto* entry = serverRegistry_.find(server);
-        log_.info("server-crashed", { { "server", entry ? entry->entry.id : "" }, { "contents", contents } });
+        if (const auto report = crashAttribution_.onProcessEnded(server, loop_.now()))
+            membership_.quarantine().reportCrash(*report);
+    }
+
+    /// Gives up open requests that are refused from now on.
+    void onBan(admission::Fingerprint fingerprint)
+    {
+        const auto openRequests = forwardingEnvironment_.openRequests;
+        for (const auto& request : openRequests)
+            request->onBan(fingerprint);
     }
 
     upstreams::RemovalPolicy removalPolicy() const
--- a/src/goldcrestcleat/admission/CrashAttribution.h
+++ b/src/goldcrestcleat/admission/CrashAttribution.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "goldcrestcleat/admission/Quarantine.h"
+#include "goldcrestcleat/admission/CrashReport.h"
 #include "goldcrestcleat/routing/Keys.h"
 
 #include <algorithm>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -20,38 +21,53 @@
     static constexpr loop::TimeMs WINDOW_MS = 2'500;
 
     /// Records a request whose answer from a server was interrupted.
-    void onAnswerInterrupted(routing::NodeKey server, Fingerprint fingerprint, std::uint64_t crashId, loop::TimeMs now)
+    void onAnswerInterrupted(routing::NodeKey server, InterruptedRun run, loop::TimeMs now)
     {
         auto& interrupted = interrupted_[server];
         removeExpired(interrupted, now);
-        interrupted.push_back({ fingerprint, crashId, now });
+        interrupted.push_back({ std::move(run), now });
     }
 
-    /// Returns the suspects of a server whose process was found to have ended, and removes them.
-    std::vector<Suspicion> onProcessEnded(routing::NodeKey server, loop::TimeMs now)
+    /// Returns the suspects of a server whose process was found to have ended, and removes them: the runs at the most
+    /// suspicious stage. Returns nothing if there are none.
+    std::optional<CrashReport> onProcessEnded(routing::NodeKey server, loop::TimeMs now)
     {
-        std::vector<Suspicion> suspicions;
         const auto found = interrupted_.find(server);
         if (found == interrupted_.end())
-            return suspicions;
-        removeExpired(found->second, now);
-        for (const auto& answer : found->second)
-            suspicions.push_back({ answer.fingerprint, answer.crashId, false });
+            return std::nullopt;
+        const std::vector<InterruptedAnswer> answers = std::move(found->second);
         interrupted_.erase(found);
-        return suspicions;
+        CrashReport report;
+        report.stage = RunStage::Running;
+        for (const auto& answer : answers) {
+            if (!isExpired(answer, now))
+                report.stage = std::min(report.stage, answer.run.stage);
+        }
+        for (const auto& answer : answers) {
+            if (isExpired(answer, now) || answer.run.stage != report.stage)
+                continue;
+            report.crashId = answer.run.crashId;
+            report.host = answer.run.host;
+            const auto& fingerprints = answer.run.fingerprints;
+            report.suspects.insert(report.suspects.end(), fingerprints.begin(), fingerprints.end());
+            report.ageMs = std::max(report.ageMs, now - answer.at);
+        }
+        return report.suspects.empty() ? std::nullopt : std::optional<CrashReport>(report);
     }
 
 private:
     struct InterruptedAnswer {
-        Fingerprint fingerprint = 0;
-        std::uint64_t crashId = 0;
+        InterruptedRun run;
         loop::TimeMs at = 0;
     };
 
+    static bool isExpired(const InterruptedAnswer& answer, loop::TimeMs now) { return now - answer.at > WINDOW_MS; }
+
     static void removeExpired(std::vector<InterruptedAnswer>& answers, loop::TimeMs now)
     {
-        const auto isExpired = [now](const InterruptedAnswer& answer) { return now - answer.at > WINDOW_MS; };
-        answers.erase(std::remove_if(answers.begin(), answers.end(), isExpired), answers.end());
+        answers.erase(
+            std::remove_if(answers.begin(), answers.end(), [now](const auto& a) { return isExpired(a, now); }),
+            answers.end());
     }
 
     std::unordered_map<routing::NodeKey, std::vector<InterruptedAnswer>> interrupted_;
--- a/src/goldcrestcleat/admission/Quarantine.h
+++ b/src/goldcrestcleat/admission/Quarantine.h
@@ -1,83 +1,106 @@
 #pragma once
 
-#include "goldcrestcleat/loop/EventLoop.h"
+#include "goldcrestcleat/admission/CrashEvidence.h"
+#include "goldcrestcleat/admission/RecentAnswers.h"
+#include "goldcrestcleat/admission/Verdict.h"
 
-#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace goldcrestcleat::admission {
 
-/// 64-bit hash of a workspace and a request body.
-using Fingerprint = std::uint64_t;
-
-Fingerprint fingerprintOf(const std::string& workspace, const std::string& body);
-
-/// Returns the hash of a part of a prompt, which requests of all workspaces may share.
-Fingerprint fingerprintOfPart(const std::string& partId);
-
-/// Returns a hash as it is written to logs: 16 hexadecimal digits.
-std::string toHex(Fingerprint fingerprint);
-
-/// A crash that a request may have caused: the request was running on the upstream when its process ended.
-struct Suspicion {
+/// Answers to requests with a fingerprint.
+struct AnswerCount {
     Fingerprint fingerprint = 0;
-    std::uint64_t crashId = 0; ///< hash of the upstream and the id of the run that ended
-    bool wasSuspect = false; ///< it ran as a suspect, so that no other suspect was running there
+    int count = 0;
 
-    friend bool operator==(const Suspicion& a, const Suspicion& b)
+    friend bool operator==(const AnswerCount& a, const AnswerCount& b)
     {
-        return a.fingerprint == b.fingerprint && a.crashId == b.crashId && a.wasSuspect == b.wasSuspect;
+        return a.fingerprint == b.fingerprint && a.count == b.count;
     }
 };
 
-/// Counts the crashes in which each request was involved, and bans requests temporarily.
-///
-/// A request is banned after two crashes if it was the only suspect in one of them. Otherwise it takes three crashes:
-/// requests with the same content share one count, and another request may have caused the crashes.
+/// Decides which requests are refused because they crash servers: by their content or by a part of their prompt.
 ///
-/// A ban may end before the crashes expire; the next crash then bans for twice as long. This gives another chance to
-/// requests that were banned because of other requests with the same content.
+/// A ban does not expire. It ends when an operator lifts it, or when MAX_PROBES requests that were sent as probes, far
+/// apart, have all been answered. A probe that crashes its server ends the probing.
 class Quarantine {
 public:
-    static constexpr std::size_t CRASHES_TO_BAN_SUSPECT = 2;
-    static constexpr std::size_t CRASHES_TO_BAN = 3;
-    static constexpr loop::TimeMs RETENTION_MS = 600'000; ///< crashes of a request expire this long after the last one
-    static constexpr std::size_t MAX_ENTRIES = 10'000;
-
-    /// The first ban lasts `initialBanMs`; no ban outlasts RETENTION_MS.
-    explicit Quarantine(loop::TimeMs initialBanMs = RETENTION_MS)
-        : initialBanMs_(initialBanMs)
-    {
-    }
+    static constexpr int MAX_PROBES = 3; ///< over the life of a fingerprint
+    static constexpr loop::TimeMs PROBE_INTERVAL_MS = 60'000; ///< from a ban to its first probe, and between probes
+    static constexpr loop::TimeMs HEARING_MS = 120; ///< from the first crash on, in which the answers of peers arrive
+    static constexpr std::size_t MAX_VERDICTS = 1'000; ///< lifted ones, then the oldest are forgotten first
 
-    /// Records a crash; returns false if it was already recorded. Complexity: O(1) unless the table is full.
-    bool record(const Suspicion& suspicion, loop::TimeMs now);
+    using UnixClock = std::function<std::int64_t()>; ///< returns the Unix time in ms
 
-    /// Discards the crashes of a request that has now been answered completely; returns false if there were none.
-    bool clearSuspicion(Fingerprint fingerprint) { return entries_.erase(fingerprint) > 0; }
+    /// `self` names this daemon in verdicts.
+    explicit Quarantine(std::string self = "", UnixClock clock = systemClock());
 
-    /// Returns true if the request was recently involved in a crash; it must not run beside another suspect.
-    bool isSuspect(Fingerprint fingerprint, loop::TimeMs now) const;
+    /// Limits a report of this daemon to the fingerprints that are most likely to be the cause.
+    void limitSuspects(CrashReport& report) const;
 
-    bool isBanned(Fingerprint fingerprint, loop::TimeMs now) const;
+    /// Adds a report of this daemon or a peer.
+    void recordCrash(const CrashReport& report, loop::TimeMs now);
 
-    /// Returns all suspicions that have not expired.
-    std::vector<Suspicion> current(loop::TimeMs now) const;
+    /// Bans the suspects of a crash that have reached the threshold, and returns these bans. A suspect whose hearing is
+    /// not over is banned by a later review only.
+    std::vector<Verdict> reviewCrash(std::uint64_t crashId, loop::TimeMs now);
 
-private:
-    struct Entry {
-        std::vector<std::uint64_t> crashes;
-        bool wasSuspect = false; // in at least one of the crashes
-        loop::TimeMs lastAt = 0;
-    };
+    /// Records that a server survived the beginning of its answer to a request of this daemon.
+    void recordAnswer(const std::vector<Fingerprint>& fingerprints, loop::TimeMs now);
+
+    /// Returns true if answers were recorded that the peers need to know.
+    bool hasUnreportedAnswers() const { return !unreported_.empty(); }
+
+    /// Returns the answers of this daemon that still matter, and counts them here as the peers will.
+    std::vector<AnswerCount> takeUnreportedAnswers(loop::TimeMs now);
 
-    const Entry* findUnexpired(Fingerprint fingerprint, loop::TimeMs now) const;
-    void evictOldest();
+    void recordPeerAnswers(const std::vector<AnswerCount>& answers);
 
-    loop::TimeMs initialBanMs_;
-    std::unordered_map<Fingerprint, Entry> entries_;
+    /// Returns true if one of the fingerprints was present at a recent crash and is not cleared by answers.
+    bool isSuspect(const std::vector<Fingerprint>& fingerprints, loop::TimeMs now) const;
+
+    /// Returns the ban that applies to a request with these fingerprints, or null. Complexity: O(fingerprints).
+    const Verdict* findBan(const std::vector<Fingerprint>& fingerprints) const;
+
+    /// Returns the verdict on a fingerprint, or null.
+    const Verdict* find(Fingerprint fingerprint) const;
+
+    /// Applies a verdict from a peer or the store if it is newer; returns whether it was.
+    bool apply(const Verdict& verdict);
+
+    /// Returns true if a ban may be probed now.
+    bool isProbeDue(const Verdict& ban) const;
+
+    /// Return the next revision of a ban: a probe is being sent, was answered or crashed its server. The last answered
+    /// probe lifts the ban.
+    Verdict withProbe(const Verdict& ban) const;
+    Verdict withAnsweredProbe(const Verdict& ban) const;
+    Verdict withCrashedProbe(const Verdict& ban) const;
+
+    std::vector<Verdict> verdicts() const;
+    std::size_t banCount() const;
+
+    const CrashEvidence& evidence() const { return evidence_; }
+
+    static UnixClock systemClock();
+
+private:
+    bool isBanned(Fingerprint fingerprint) const;
+    Verdict ban(Fingerprint fingerprint, loop::TimeMs now);
+    bool mustBeBanned(Fingerprint fingerprint, const CrashEvidence::Record& record, loop::TimeMs now) const;
+    void put(const Verdict& verdict);
+    void queueEarlierAnswers(const CrashReport& report, loop::TimeMs now);
+
+    std::string self_;
+    UnixClock clock_;
+    CrashEvidence evidence_;
+    RecentAnswers recentAnswers_;
+    std::map<Fingerprint, int> unreported_; // answers of this daemon to requests with suspected fingerprints
+    std::map<Fingerprint, Verdict> verdicts_;
 };
 
 } // namespace goldcrestcleat::admission
--- a/src/goldcrestcleat/fleet/ConfigCache.h
+++ b/src/goldcrestcleat/fleet/ConfigCache.h
@@ -42,5 +42,6 @@
 constexpr const char* PROFILE_KIND = "profile";
 constexpr const char* UPSTREAM_KIND = "upstream";
 constexpr const char* STOP_KIND = "stop";
+constexpr const char* QUARANTINE_KIND = "quarantine";
 
 } // namespace goldcrestcleat::fleet
--- a/src/goldcrestcleat/fleet/Fleet.cpp
+++ b/src/goldcrestcleat/fleet/Fleet.cpp
@@ -28,7 +28,6 @@
     , view_(view)
     , configCache_(configCache)
     , store_(store)
-    , quarantine_(quarantine)
     , self_(routing::nodeKey(settings.self.id))
     , memory_(settings.routing.chatMemoryBytes)
     , links_(loop, settings,
@@ -41,6 +40,7 @@
               } })
     , tickets_(
           loop, self_, links_, ownership_, view, memory_, { settings.routing.loadBound, settings.routing.admitFactor })
+    , sharedQuarantine_(loop, log, quarantine, settings.self.id, quarantineHooks())
 {
     ownership_.setDaemons({ self_ });
 }
@@ -57,6 +57,7 @@
     loop_.every(SHED_PERIOD_MS, [this] { tickets_.shedOverload(); });
     loop_.every(REPAIR_PERIOD_MS, [this] { repairConfig(); });
     store_.onPolled = [this] { updateReady(); };
+    sharedQuarantine_.start();
 }
 
 std::vector<settings::EntryVm> Fleet::entryVmsFor(
@@ -110,17 +111,6 @@
     }
 }
 
-void Fleet::reportSuspicions(const std::vector<admission::Suspicion>& suspicions)
-{
-    SuspectReport newSuspicions;
-    for (const auto& suspicion : suspicions) {
-        if (quarantine_.record(suspicion, loop_.now()))
-            newSuspicions.suspicions.push_back(suspicion);
-    }
-    if (!newSuspicions.suspicions.empty())
-        links_.broadcast(newSuspicions);
-}
-
 void Fleet::announce(const upstreams::Upstream& upstream) { links_.broadcast(statusOf(upstream)); }
 
 void Fleet::onResume()
@@ -153,9 +143,8 @@
         tickets_.onMove(move->engine);
     else if (const auto* remember = std::get_if<RememberChat>(&message))
         memory_.put(remember->chat, remember->engine);
-    else if (const auto* suspects = std::get_if<SuspectReport>(&message))
-        for (const auto& suspicion : suspects->suspicions)
-            quarantine_.record(suspicion, loop_.now());
+    else if (sharedQuarantine_.onMessage(message))
+        return;
     else if (const auto* status = std::get_if<UpstreamStatus>(&message))
         onStatus(*status);
     else if (const auto* items = std::get_if<ConfigItems>(&message))
@@ -204,9 +193,10 @@
 {
     log_.info("peer-up", { { "peer", peer.vm.id } });
     const Peer copy = peer;
+    for (const auto& message : sharedQuarantine_.currentState())
+        links_.send(copy.key, message);
     links_.send(copy.key, ownState());
     links_.send(copy.key, allLoads());
-    links_.send(copy.key, SuspectReport { quarantine_.current(loop_.now()) });
     for (const auto* upstream : directory_.all()) {
         const bool mustReport
             = upstream->unavailability.leaving || (upstream->unavailability.down && isOwner(upstream->key));
@@ -345,6 +335,51 @@
     }
 }
 
+SharedQuarantine::Hooks Fleet::quarantineHooks()
+{
+    SharedQuarantine::Hooks hooks;
+    hooks.broadcast = [this](const PeerMessage& message) { links_.broadcast(message); };
+    hooks.save = [this](const admission::Verdict& verdict, const auto& onDone) { saveVerdict(verdict, onDone); };
+    hooks.readSaved = [] {}; // the store is polled for changes of the configuration anyway
+    hooks.savesForOthers = [this] {
+        const auto& daemons = ownership_.daemons();
+        return !daemons.empty() && daemons.front() == self_;
+    };
+    hooks.onBan = [this](admission::Fingerprint fingerprint) {
+        if (onBan)
+            onBan(fingerprint);
+    };
+    return hooks;
+}
+
+/// Saves a verdict as an item of the shared configuration, with a record in the audit trail.
+void Fleet::saveVerdict(const admission::Verdict& verdict, const std::function<void(SaveOutcome)>& onDone)
+{
+    const std::string id = admission::toHex(verdict.fingerprint);
+    const auto* known = configCache_.find(QUARANTINE_KIND, id);
+    if (known && admission::parseVerdict(known->value).revision >= verdict.revision) {
+        onDone(SaveOutcome::Superseded);
+        return;
+    }
+    Change change;
+    change.changeId = id + "-" + std::to_string(verdict.revision) + "-" + settings_.self.id;
+    change.operatorName = settings_.self.id;
+    change.action = verdict.isBanned ? "quarantine ban" : "quarantine lift";
+    change.kind = QUARANTINE_KIND;
+    change.id = id;
+    change.expectedVersion = known ? known->version : 0;
+    change.value = admission::toJson(verdict);
+    store_.submit(change, [this, change, onDone](const ChangeResult& result) {
+        if (result.code == errors::ResultCode::Ok) {
+            if (const auto* item = configCache_.find(change.kind, change.id))
+                announceConfig(*item);
+            onDone(SaveOutcome::Saved);
+        } else {
+            onDone(result.code == errors::ResultCode::VersionConflict ? SaveOutcome::Superseded : SaveOutcome::Failed);
+        }
+    });
+}
+
 std::vector<NodeKey> Fleet::engineKeys() const
 {
     std::vector<NodeKey> keys;
--- a/src/goldcrestcleat/fleet/Fleet.h
+++ b/src/goldcrestcleat/fleet/Fleet.h
@@ -5,6 +5,7 @@
 #include "goldcrestcleat/fleet/ConfigStore.h"
 #include "goldcrestcleat/fleet/Ownership.h"
 #include "goldcrestcleat/fleet/PeerLinks.h"
+#include "goldcrestcleat/fleet/SharedQuarantine.h"
 #include "goldcrestcleat/fleet/TicketManager.h"
 #include "goldcrestcleat/observe/Log.h"
 #include "goldcrestcleat/routing/Placement.h"
@@ -55,8 +56,10 @@
     /// Informs the owners of the chat's hashed engine which engine served it, if that is not the expected one.
     void remember(const std::string& model, routing::ChatKey chat, routing::NodeKey engine);
 
-    /// Records crashes and reports new ones to the peers.
-    void reportSuspicions(const std::vector<admission::Suspicion>& suspicions);
+    SharedQuarantine& quarantine() { return sharedQuarantine_; }
+
+    /// Called when requests with a fingerprint are refused from now on.
+    std::function<void(admission::Fingerprint)> onBan;
 
     /// Notifies the peers that an upstream began to leave, went down or came up.
     void announce(const upstreams::Upstream& upstream);
@@ -89,6 +92,8 @@
     EngineLoads allLoads() const;
     std::vector<routing::NodeKey> ownedEngines() const;
     void repairConfig();
+    SharedQuarantine::Hooks quarantineHooks();
+    void saveVerdict(const admission::Verdict& verdict, const std::function<void(SaveOutcome)>& onDone);
     std::vector<routing::NodeKey> engineKeys() const;
     static UpstreamStatus statusOf(const upstreams::Upstream& upstream);
 
@@ -99,12 +104,12 @@
     routing::LoadView& view_;
     ConfigCache& configCache_;
     ConfigStore& store_;
-    admission::Quarantine& quarantine_;
     routing::NodeKey self_;
     routing::ChatAffinityCache memory_;
     Ownership ownership_;
     PeerLinks links_;
     TicketManager tickets_;
+    SharedQuarantine sharedQuarantine_;
     std::vector<routing::NodeKey> ownedEngines_; ///< in slot order, as last sent to the peers
     std::vector<int> sentLoads_; ///< by slot
     std::map<routing::NodeKey, std::vector<routing::NodeKey>> peerEngines_;
--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -4,6 +4,7 @@
 #include "goldcrestcleat/observe/Digest.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace goldcrestcleat::fleet {
 
@@ -60,7 +61,6 @@
     , log_(log)
     , store_(store)
     , servers_(servers)
-    , quarantine_(quarantine)
     , hooks_(std::move(hooks))
     , links_(loop, identity_,
           { [this](const Peer& peer, const PeerMessage& message) { onMessage(peer, message); },
@@ -74,6 +74,23 @@
           { [this](NodeKey peer, const PeerMessage& message) { links_.send(peer, message); },
               [this](const PeerMessage& message) { links_.broadcast(message); },
               [this] { links_.broadcast(currentLoads()); }, [this] { return connectedPeers(); } })
+    , verdictRows_(store, log)
+    , sharedQuarantine_(loop, log, quarantine, settings.self.id,
+          { [this](const PeerMessage& message) { links_.broadcast(message); },
+              [this](const admission::Verdict& verdict, const std::function<void(SaveOutcome)>& onDone) {
+                  verdictRows_.save(verdict, onDone);
+              },
+              [this] {
+                  verdictRows_.read([this](const auto& verdicts) {
+                      if (verdicts)
+                          sharedQuarantine_.load(*verdicts);
+                  });
+              },
+              [this] { return tables_.isLeading(); },
+              [this](admission::Fingerprint fingerprint) {
+                  if (hooks_.onBan)
+                      hooks_.onBan(fingerprint);
+              } })
     , renewalMs_(renewalMs)
 {
     identity_.self = settings.self;
@@ -84,6 +101,8 @@
 void Membership::start()
 {
     readTable();
+    readVerdicts();
+    sharedQuarantine_.start();
     loop_.after(SharedTables::SETTLING_MS, [this] { tables_.updateLeading(); });
 }
 
@@ -103,20 +122,6 @@
         sendState(peer->key);
 }
 
-void Membership::reportSuspicion(const admission::Suspicion& suspicion)
-{
-    if (quarantine_.record(suspicion, loop_.now()))
-        links_.broadcast(SuspectReport { { suspicion } });
-}
-
-void Membership::clearSuspicion(admission::Fingerprint fingerprint)
-{
-    if (!quarantine_.clearSuspicion(fingerprint))
-        return;
-    log_.infoRateLimited("suspicion-cleared", { { "content", admission::toHex(fingerprint) } });
-    links_.broadcast(ClearedSuspects { { fingerprint } });
-}
-
 std::vector<std::string> Membership::entryAddresses() const
 {
     std::vector<std::string> addresses;
@@ -240,6 +245,27 @@
     scheduleRenewal();
 }
 
+/// Reads the verdicts until the store has answered or a peer has sent them.
+void Membership::readVerdicts()
+{
+    verdictRows_.read([this](const auto& verdicts) {
+        if (verdicts) {
+            sharedQuarantine_.load(*verdicts);
+            setVerdictsLoaded();
+        } else if (!hasVerdicts_) {
+            loop_.after(JOIN_RETRY_MS, [this] { readVerdicts(); });
+        }
+    });
+}
+
+void Membership::setVerdictsLoaded()
+{
+    if (std::exchange(hasVerdicts_, true))
+        return;
+    if (hooks_.onVerdictsLoaded)
+        hooks_.onVerdictsLoaded();
+}
+
 // ---- private: renewal ----
 
 /// Spreads the renewals of daemons that started together over a quarter of the interval.
@@ -326,13 +352,11 @@
         onLoads(peer, *loads);
     } else if (const auto* state = std::get_if<DaemonState>(&message)) {
         links_.setPeerState(peer.key, state->ready, state->leaving, state->configDigest);
+        if (state->ready)
+            setVerdictsLoaded(); // its verdicts precede its state on the link
         hooks_.onPeersChanged();
-    } else if (const auto* suspects = std::get_if<SuspectReport>(&message)) {
-        for (const auto& suspicion : suspects->suspicions)
-            quarantine_.record(suspicion, loop_.now());
-    } else if (const auto* cleared = std::get_if<ClearedSuspects>(&message)) {
-        for (const auto fingerprint : cleared->fingerprints)
-            quarantine_.clearSuspicion(fingerprint);
+    } else if (sharedQuarantine_.onMessage(message)) {
+        return;
     } else if (const auto* unreachable = std::get_if<UnreachableServers>(&message)) {
         for (const auto server : unreachable->servers)
             hooks_.onServerUnreachable(server);
@@ -356,11 +380,10 @@
 void Membership::onUp(const Peer& peer)
 {
     log_.info("peer-up", { { "peer", peer.vm.id } });
+    for (const auto& message : sharedQuarantine_.currentState())
+        links_.send(peer.key, message);
     sendState(peer.key);
     links_.send(peer.key, currentLoads());
-    const auto suspicions = quarantine_.current(loop_.now());
-    if (!suspicions.empty())
-        links_.send(peer.key, SuspectReport { suspicions });
     const auto& leaving = servers_.leavingInstances();
     if (!leaving.empty())
         links_.send(peer.key, LeavingServers { { leaving.begin(), leaving.end() } });
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -2,7 +2,9 @@
 
 #include "goldcrestcleat/admission/Quarantine.h"
 #include "goldcrestcleat/fleet/PeerLinks.h"
+#include "goldcrestcleat/fleet/SharedQuarantine.h"
 #include "goldcrestcleat/fleet/SharedTables.h"
+#include "goldcrestcleat/fleet/VerdictRows.h"
 #include "goldcrestcleat/observe/Log.h"
 #include "goldcrestcleat/settings/FrontSettings.h"
 #include "goldcrestcleat/upstreams/ServerRegistry.h"
@@ -37,6 +39,8 @@
             slowServers {}; ///< returns the servers that this daemon observes to be slow, and how slow; may be unset
         std::function<void(routing::NodeKey server, double slowness)>
             onSlowServer {}; ///< a peer observes a slow server
+        std::function<void(admission::Fingerprint)> onBan {}; ///< requests are refused from now on; may be unset
+        std::function<void()> onVerdictsLoaded {}; ///< the verdicts of the quarantine are known; may be unset
     };
 
     Membership(loop::EventLoop& loop, const settings::FrontSettings& settings, const observe::Log& log,
@@ -58,11 +62,10 @@
     /// Notifies the peers that a server has announced in a response that it leaves.
     void reportLeaving(const upstreams::ServerInstance& instance) { links_.broadcast(LeavingServers { { instance } }); }
 
-    /// Records a crash locally and reports it to the peers.
-    void reportSuspicion(const admission::Suspicion& suspicion);
+    SharedQuarantine& quarantine() { return sharedQuarantine_; }
 
-    /// Clears the recorded crashes of a request, locally and on the peers.
-    void clearSuspicion(admission::Fingerprint fingerprint);
+    /// True once the verdicts of the quarantine were read from the store or received from a ready peer.
+    bool hasVerdicts() const { return hasVerdicts_; }
 
     /// Returns the addresses for callers of all daemons that accept requests, including this one if it does.
     std::vector<std::string> entryAddresses() const;
@@ -101,6 +104,8 @@
     void onTable(const Rows& rows);
     void join(const store::VersionedRow& secret, std::uint64_t ownVersion);
     void openLinks();
+    void readVerdicts();
+    void setVerdictsLoaded();
     void addPeer(const store::VersionedRow& row);
     void scheduleRenewal();
     void renew();
@@ -123,11 +128,12 @@
     const observe::Log& log_;
     const store::RowStore& store_;
     upstreams::ServerRegistry& servers_;
-    admission::Quarantine& quarantine_;
     Hooks hooks_;
     settings::Settings identity_; // the subset that the links use
     PeerLinks links_;
     SharedTables tables_;
+    VerdictRows verdictRows_;
+    SharedQuarantine sharedQuarantine_;
     bool reportedMayLead_ = true;
     std::size_t nextRecipient_ = 0; // round robin over the peers
     double sendCredit_ = 0; // load messages that may be sent now; fractions accumulate
@@ -135,6 +141,7 @@
     std::map<std::string, RenewalState> renewals_; // by row key
     const loop::TimeMs renewalMs_;
     bool linksOpen_ = false;
+    bool hasVerdicts_ = false;
     bool isReady_ = false;
     bool isLeaving_ = false;
 };
--- a/src/goldcrestcleat/fleet/PeerMessages.cpp
+++ b/src/goldcrestcleat/fleet/PeerMessages.cpp
@@ -67,11 +67,12 @@
         return array;
     }
 
-    json toArray(const SuspectReport& m)
+    json toArray(const CrashReports& m)
     {
         json array = json::array();
-        for (const auto& s : m.suspicions)
-            array.push_back({ s.fingerprint, s.crashId, s.wasSuspect });
+        for (const auto& r : m.reports)
+            array.push_back(
+                { r.crashId, r.host, static_cast<int>(r.stage), r.isIsolated, r.ageMs, r.reporter, r.suspects });
         return array;
     }
 
@@ -101,7 +102,23 @@
         return array;
     }
 
-    json toArray(const ClearedSuspects& m) { return json::array({ m.fingerprints }); }
+    json toArray(const SuspectAnswers& m)
+    {
+        json array = json::array();
+        for (const auto& [fingerprint, count] : m.answers) {
+            array.push_back(fingerprint);
+            array.push_back(count);
+        }
+        return array;
+    }
+
+    json toArray(const Verdicts& m)
+    {
+        json array = json::array();
+        for (const auto& verdict : m.verdicts)
+            array.push_back(admission::toJson(verdict));
+        return array;
+    }
 
     json toArray(const UnreachableServers& m) { return json::array({ m.servers }); }
 
@@ -193,11 +210,39 @@
         return m;
     }
 
-    SuspectReport readSuspectReport(const json& a)
+    admission::RunStage readStage(const json& a, std::size_t index)
+    {
+        const int stage = read<int>(a, index);
+        if (stage < 0 || stage > static_cast<int>(admission::RunStage::Running))
+            throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, "unknown stage of a run");
+        return static_cast<admission::RunStage>(stage);
+    }
+
+    CrashReports readCrashReports(const json& a)
     {
-        SuspectReport m;
+        CrashReports m;
+        for (std::size_t i = 1; i < a.size(); ++i) {
+            const json& report = a[i];
+            m.reports.push_back({ read<std::uint64_t>(report, 0), read<std::uint64_t>(report, 1), readStage(report, 2),
+                read<bool>(report, 3), read<std::int64_t>(report, 4), report.at(5),
+                report.at(6).get<std::vector<admission::Fingerprint>>() });
+        }
+        return m;
+    }
+
+    SuspectAnswers readSuspectAnswers(const json& a)
+    {
+        SuspectAnswers m;
+        for (std::size_t i = 1; i + 1 < a.size(); i += 2)
+            m.answers.push_back({ read<std::uint64_t>(a, i), read<int>(a, i + 1) });
+        return m;
+    }
+
+    Verdicts readVerdicts(const json& a)
+    {
+        Verdicts m;
         for (std::size_t i = 1; i < a.size(); ++i)
-            m.suspicions.push_back({ read<std::uint64_t>(a[i], 0), read<std::uint64_t>(a[i], 1), read<bool>(a[i], 2) });
+            m.verdicts.push_back(admission::parseVerdict(a[i]));
         return m;
     }
 
@@ -308,7 +353,7 @@
         case 9:
             return RememberChat { read<std::uint64_t>(a, 1), read<std::uint32_t>(a, 2) };
         case 10:
-            return readSuspectReport(a);
+            return readCrashReports(a);
         case 11:
             return readUpstreamStatus(a);
         case 12:
@@ -320,13 +365,15 @@
         case 15:
             return readMirrorRows(a);
         case 16:
-            return ClearedSuspects { a.at(1).get<std::vector<admission::Fingerprint>>() };
+            return readSuspectAnswers(a);
         case 17:
             return UnreachableServers { a.at(1).get<std::vector<routing::NodeKey>>() };
         case 18:
             return readLeavingServers(a);
         case 19:
             return readSlowServers(a);
+        case 20:
+            return readVerdicts(a);
         default:
             throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, "unknown message type");
         }
@@ -348,6 +395,10 @@
 {
     try {
         return readMessage(json::from_cbor(bytes.begin(), bytes.end()));
+    } catch (const errors::PeerError&) {
+        throw;
+    } catch (const errors::Error& e) {
+        throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, e.what());
     } catch (const json::exception& e) {
         throw errors::PeerError(errors::ResultCode::PeerFrameInvalid, e.what());
     }
@@ -355,9 +406,10 @@
 
 const char* kindName(const PeerMessage& message)
 {
-    static constexpr std::array<const char*, std::variant_size_v<PeerMessage>> names = { "hello", "proof", "ask",
-        "verdict", "release", "held", "roster", "loads", "move", "remember", "suspects", "status", "config",
-        "server-loads", "mirror-ask", "mirror-rows", "forgiven", "lost-servers", "leaving-servers", "slow-servers" };
+    static constexpr std::array<const char*, std::variant_size_v<PeerMessage>> names
+        = { "hello", "proof", "ask", "verdict", "release", "held", "roster", "loads", "move", "remember", "crashes",
+              "status", "config", "server-loads", "mirror-ask", "mirror-rows", "suspect-answers", "lost-servers",
+              "leaving-servers", "slow-servers", "verdicts" };
     return names[message.index()];
 }
 
--- a/src/goldcrestcleat/fleet/PeerMessages.h
+++ b/src/goldcrestcleat/fleet/PeerMessages.h
@@ -86,9 +86,9 @@
     routing::NodeKey engine = routing::NO_NODE;
 };
 
-/// Requests that were running on an upstream when it crashed.
-struct SuspectReport {
-    std::vector<admission::Suspicion> suspicions;
+/// Servers that crashed, with the requests that may have caused it.
+struct CrashReports {
+    std::vector<admission::CrashReport> reports;
 };
 
 /// State of upstreams as observed by the sender.
@@ -135,9 +135,9 @@
     store::RowChanges changes;
 };
 
-/// Requests that were suspects and have since been answered completely.
-struct ClearedSuspects {
-    std::vector<admission::Fingerprint> fingerprints;
+/// Answers to requests that may have crashed servers.
+struct SuspectAnswers {
+    std::vector<admission::AnswerCount> answers;
 };
 
 /// Servers that the sender can no longer reach.
@@ -155,9 +155,14 @@
     std::vector<std::pair<routing::NodeKey, double>> servers; ///< factors are sent in tenths
 };
 
+/// Requests that are refused because they crash servers, or no longer are.
+struct Verdicts {
+    std::vector<admission::Verdict> verdicts;
+};
+
 using PeerMessage = std::variant<Hello, Proof, AcquireTicket, TicketReply, ReleaseTicket, HeldTickets, DaemonState,
-    EngineLoads, MoveRequest, RememberChat, SuspectReport, UpstreamStatus, ConfigItems, ServerLoads, MirrorRequest,
-    MirrorRows, ClearedSuspects, UnreachableServers, LeavingServers, SlowServers>;
+    EngineLoads, MoveRequest, RememberChat, CrashReports, UpstreamStatus, ConfigItems, ServerLoads, MirrorRequest,
+    MirrorRows, SuspectAnswers, UnreachableServers, LeavingServers, SlowServers, Verdicts>;
 
 /// Maximum size of an encoded message, in bytes.
 constexpr std::size_t MAX_PEER_MESSAGE_BYTES = 1024 * 1024;
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/HTTPResponse.h>
 
 #include <algorithm>
+#include <utility>
 
 // Placement, sending, timeouts and completion. ForwardedResponse.cpp handles responses and failed attempts.
 
@@ -90,10 +91,8 @@
 {
     if (isEnded_)
         return;
-    if (env_.quarantine.isBanned(plan_.fingerprint, env_.loop.now())) {
-        fail(ResultCode::Quarantined, "");
+    if (!passesQuarantine())
         return;
-    }
     if (remainingMs() < MIN_REMAINING_MS) {
         fail(ResultCode::DeadlineUnreachable, "not enough time left for an attempt");
         return;
@@ -106,6 +105,36 @@
     });
 }
 
+/// Returns false if the request is refused, or if it is not yet known whether it may be sent as a probe.
+bool ForwardedRequest::passesQuarantine()
+{
+    const auto* ban = env_.quarantine.findBan(plan_.fingerprints);
+    if (!ban || probedBan_)
+        return true;
+    if (attemptCount_ > 0 || !env_.claimProbe || !env_.quarantine.isProbeDue(*ban)) {
+        fail(ResultCode::Quarantined, admission::toHex(ban->fingerprint));
+        return false;
+    }
+    probedBan_ = ban->fingerprint;
+    env_.claimProbe(ban->fingerprint, [weak = weak_from_this()](bool isClaimed) {
+        if (const auto self = weak.lock())
+            self->onProbeClaimed(isClaimed);
+    });
+    return false;
+}
+
+void ForwardedRequest::onProbeClaimed(bool isClaimed)
+{
+    if (isEnded_)
+        return;
+    if (isClaimed) {
+        place();
+        return;
+    }
+    const std::string fingerprint = admission::toHex(*std::exchange(probedBan_, std::nullopt));
+    fail(ResultCode::Quarantined, fingerprint);
+}
+
 void ForwardedRequest::onPlaced(const PlacementResult& result)
 {
     isPlacing_ = false;
@@ -268,6 +297,17 @@
         onBroken(FailureKind::Unresponsive, "server became unreachable");
 }
 
+void ForwardedRequest::onBan(admission::Fingerprint fingerprint)
+{
+    const auto& fingerprints = plan_.fingerprints;
+    const bool isAffected = std::find(fingerprints.begin(), fingerprints.end(), fingerprint) != fingerprints.end();
+    if (isEnded_ || !isAffected || attempt_.headAt || probedBan_)
+        return;
+    if (attempt_.call && attempt_.call->isConnected())
+        ++possibleRuns_;
+    fail(ResultCode::Quarantined, admission::toHex(fingerprint));
+}
+
 void ForwardedRequest::onTimeout()
 {
     timeoutTimer_ = 0;
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -18,6 +18,15 @@
     admission::Quarantine& quarantine;
     std::set<std::shared_ptr<ForwardedRequest>> openRequests; ///< unfinished requests
     std::function<void(const RequestSummary&)> onFinished; ///< may be unset
+
+    /// A server survived the beginning of its answer to a request with these fingerprints. May be unset.
+    std::function<void(const std::vector<admission::Fingerprint>&)> onAnswerBegun {};
+
+    /// Claims a probe of a ban; reports whether one request may be sent in spite of it. Without it, none is.
+    std::function<void(admission::Fingerprint, std::function<void(bool)>)> claimProbe {};
+
+    /// The probe that this daemon sent was answered. Set if `claimProbe` is.
+    std::function<void(admission::Fingerprint)> onProbeAnswered {};
 };
 
 /// State machine of one caller's request, from its admission to the last byte of its response.
@@ -44,6 +53,9 @@
     /// Retries on another server, if allowed, because the current one has become unreachable.
     void onServerDown();
 
+    /// Gives up the request if its fingerprints include one that is banned from now on and its answer has not begun.
+    void onBan(admission::Fingerprint fingerprint);
+
     /// Moves the request to a less loaded server if one accepts it immediately.
     void migrate();
 
@@ -61,10 +73,13 @@
         std::string body; ///< of a response that is not a stream
         loop::TimeMs sentAt = 0;
         std::optional<loop::TimeMs> headAt; ///< when the response head arrived
+        bool hasSurvived = false; ///< the server has survived the beginning of its answer
     };
 
     // Placement and sending.
     void place();
+    bool passesQuarantine();
+    void onProbeClaimed(bool isClaimed);
     void onPlaced(const PlacementResult& result);
     void send(const Placement& placement, http::Client::Reuse reuse);
     http::Call::Hooks hooksFor(int serial);
@@ -79,6 +94,8 @@
     void onEnd();
     void onFailure(http::FailurePoint point, const std::string& reason);
     bool isEventStream() const;
+    admission::RunStage stage() const;
+    void noteSurvival();
     void finishStream();
     void finishBuffered();
 
@@ -87,7 +104,7 @@
     void onRejected();
     void onBroken(FailureKind kind, const std::string& reason);
     void onAssessed(FailureKind kind, const std::string& reason, NextServer next);
-    bool mayRunAgain() const { return plan_.mayRepeat && possibleRuns_ < plan_.attempts; }
+    bool mayRunAgain() const { return plan_.mayRepeat && possibleRuns_ < plan_.attempts && !probedBan_; }
     bool takeRetry();
     void retry(const std::string& reason, NextServer next);
     void fail(errors::ResultCode code, const std::string& context);
@@ -127,6 +144,7 @@
     int rejections_ = 0; // attempts that a server stated it did not execute
     int connectFailures_ = 0; // attempts for which no connection could be opened
     bool holdsRetry_ = false; // taken from the retry budget before the current attempt was abandoned
+    std::optional<admission::Fingerprint> probedBan_; // the ban that this request probes
     bool isPlacing_ = false;
     bool isMigrating_ = false;
     bool isStreaming_ = false; // the caller was sent the head of a stream
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -57,12 +57,34 @@
     return plan_.isStream && attempt_.head.isAuthentic && isSuccess(attempt_.head.status);
 }
 
+/// Returns how far the current run has come, which tells how likely its request is to have crashed the server.
+admission::RunStage ForwardedRequest::stage() const
+{
+    if (!attempt_.headAt)
+        return admission::RunStage::Waiting;
+    const bool hasJustBegun = env_.loop.now() - *attempt_.headAt <= admission::BEGINNING_MS;
+    return hasJustBegun ? admission::RunStage::Begun : admission::RunStage::Running;
+}
+
+/// Reports once per attempt that the server has survived the beginning of its answer.
+void ForwardedRequest::noteSurvival()
+{
+    if (std::exchange(attempt_.hasSurvived, true))
+        return;
+    if (env_.onAnswerBegun)
+        env_.onAnswerBegun(plan_.fingerprints);
+    if (probedBan_ && env_.onProbeAnswered)
+        env_.onProbeAnswered(*probedBan_);
+}
+
 void ForwardedRequest::onBody(std::string_view part)
 {
     if (!isEventStream()) {
         appendToBody(part);
         return;
     }
+    if (stage() == admission::RunStage::Running)
+        noteSurvival();
     const auto self = shared_from_this();
     const int serial = attempt_.serial;
     const bool shouldContinue = attempt_.events.feed(part, [this](const StreamEvent& event) { return onEvent(event); });
@@ -137,6 +159,7 @@
 
 void ForwardedRequest::finishStream()
 {
+    noteSurvival();
     hooks_.onCompleteResponse(attempt_.placement, attempt_.head, "");
     if (!isStreaming_)
         exchange_->startStream(attempt_.head.status, attempt_.head.fields);
@@ -151,6 +174,7 @@
         onBroken(FailureKind::Invalid, "response is not authentic or does not continue the stream");
         return;
     }
+    noteSurvival();
     if (head.isFailure) {
         hooks_.recordOutcome(attempt_.placement, Outcome::ServerError);
         ++possibleRuns_;
@@ -193,7 +217,7 @@
 {
     hooks_.recordOutcome(attempt_.placement, Outcome::Rejected);
     ++rejections_;
-    if (rejections_ <= MAX_REJECTED_RETRIES && takeRetry()) {
+    if (!probedBan_ && rejections_ <= MAX_REJECTED_RETRIES && takeRetry()) {
         retry("rejected", NextServer::Another);
         return;
     }
@@ -214,7 +238,7 @@
     cancelCall();
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
     hooks_.assessFailure(
-        { kind, attempt_.placement, wasClosedWhileIdle, isStreaming_ }, [weak, kind, reason](NextServer next) {
+        { kind, attempt_.placement, wasClosedWhileIdle, isStreaming_, stage() }, [weak, kind, reason](NextServer next) {
             if (const auto self = weak.lock())
                 self->onAssessed(kind, reason, next);
         });
@@ -224,8 +248,8 @@
 {
     if (isEnded_)
         return;
-    if (env_.quarantine.isBanned(plan_.fingerprint, env_.loop.now()))
-        fail(ResultCode::Quarantined, "servers crashed while executing this request");
+    if (const auto* ban = env_.quarantine.findBan(plan_.fingerprints))
+        fail(ResultCode::Quarantined, admission::toHex(ban->fingerprint));
     else if (mayRunAgain() && takeRetry())
         retry(labelOf(kind), next);
     else
--- a/src/goldcrestcleat/forwarding/RequestHooks.h
+++ b/src/goldcrestcleat/forwarding/RequestHooks.h
@@ -36,7 +36,7 @@
     bool firstByteTimeoutCoversBody = false; ///< `firstByteTimeoutMs` limits a complete response if it is no stream
     bool failsWhenUnresponsive = false; ///< these timeouts end the request even if it may not be sent again
     http::Client::Reuse firstSendReuse = http::Client::Reuse::Allowed; ///< first send; retries use new connections
-    admission::Fingerprint fingerprint = 0;
+    std::vector<admission::Fingerprint> fingerprints; ///< by which the quarantine knows the request; the content first
 };
 
 /// A server chosen for a request, which counts towards the server's load until it is released.
@@ -105,6 +105,7 @@
     const Placement& placement;
     bool wasClosedWhileIdle = false; ///< sent on a reused connection that closed before any response byte
     bool hasResponseStarted = false; ///< a part of the response was forwarded to the caller
+    admission::RunStage stage = admission::RunStage::Waiting; ///< how far the run had come
 };
 
 /// Target of a retry after a failed attempt.
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -40,13 +40,23 @@
     constexpr loop::TimeMs BACK_OFF_SPREAD_DIVISOR = 4;
     constexpr loop::TimeMs MAX_BACK_OFF_SPREAD_MS = 500;
 
-    constexpr std::size_t MAX_LOGGED_PARTS = 8; // limits the length of a log line
+    constexpr std::size_t MAX_LOGGED_FINGERPRINTS = 8; // limits the length of a log line
 
-    std::uint64_t crashIdOf(NodeKey server, const std::string& requestId)
+    /// Returns the id of a crash of the server instance that a request was placed on.
+    std::uint64_t crashIdOf(const Placement& placement)
     {
-        return XXH3_64bits_withSeed(requestId.data(), requestId.size(), server);
+        const std::string instance = placement.address + "/" + std::to_string(placement.serverStartedAtMs);
+        return XXH3_64bits_withSeed(instance.data(), instance.size(), placement.server);
     }
 
+    std::uint64_t hostOf(const Placement& placement)
+    {
+        return XXH3_64bits(placement.address.data(), placement.address.size());
+    }
+
+    // Callers wait for a part of this time at most; a quarantined request fails again for at least as long.
+    constexpr loop::TimeMs QUARANTINED_RETRY_AFTER_MS = 60'000;
+
 } // namespace
 
 RoutedCall::RoutedCall(RoutedEnvironment& env, http::Exchange::Ptr exchange)
@@ -85,7 +95,11 @@
         }
     }
     const std::string caller = workspace_ ? workspace_->name : "";
-    fingerprint_ = admission::fingerprintOf(caller + "\n" + exchange_->head().getURI(), exchange_->body());
+    const auto content = admission::fingerprintOf(caller + "\n" + exchange_->head().getURI(), exchange_->body());
+    std::vector<std::string_view> parts;
+    for (const auto& part : inbound_.prompt)
+        parts.emplace_back(part.id);
+    fingerprints_ = admission::fingerprintsOf(content, parts);
     service_ = routes::chooseService(*route_, std::uniform_real_distribution<double>(0, 1)(env_.random));
     env_.retryBudget.onRequest(service_, env_.requests.loop.now());
     return true;
@@ -109,7 +123,7 @@
     }
     plan.firstByteSuspectMs = std::max(route_->goalMs / SUSPECT_DIVISOR, MIN_SUSPECT_MS);
     plan.idleSuspectMs = std::max(route_->maxPauseMs / SUSPECT_DIVISOR, MIN_SUSPECT_MS);
-    plan.fingerprint = fingerprint_;
+    plan.fingerprints = fingerprints_;
     return plan;
 }
 
@@ -318,18 +332,19 @@
 void RoutedCall::onBroken(const Failure& failure)
 {
     const NodeKey server = failure.placement.server;
-    if (failure.wasClosedWhileIdle) {
+    if (failure.wasClosedWhileIdle)
         env_.requests.client.dropIdle(failure.placement.address);
-        return;
-    }
-    env_.servers.recordOutcome(server, Outcome::Broken, env_.requests.loop.now());
-    env_.reportBroken(server, fingerprint_, crashIdOf(server, inbound_.requestId));
+    else
+        env_.servers.recordOutcome(server, Outcome::Broken, env_.requests.loop.now());
+    if (failure.kind == FailureKind::Broken)
+        env_.reportBroken(server,
+            { crashIdOf(failure.placement), hostOf(failure.placement), fingerprints_, failure.stage },
+            failure.wasClosedWhileIdle);
 }
 
 void RoutedCall::onCompleteResponse(const Placement& placement)
 {
     env_.servers.recordOutcome(placement.server, Outcome::Answered, env_.requests.loop.now());
-    env_.reportSuccess(fingerprint_);
 }
 
 /// Reports that a request was not executed only if that is certain.
@@ -351,6 +366,8 @@
 {
     if (code == ResultCode::NotReady)
         return NOT_READY_RETRY_AFTER_MS;
+    if (code == ResultCode::Quarantined)
+        return QUARANTINED_RETRY_AFTER_MS;
     if (code != ResultCode::NoUpstream && code != ResultCode::DeadlineUnreachable)
         return 0;
     const loop::TimeMs now = env_.requests.loop.now();
@@ -376,13 +393,13 @@
             { { "server", summary.serverId }, { "attempts", summary.attempts }, { "firstMs", summary.timeToHeadMs } });
 }
 
-/// Returns the hashes of the first prompt segments that the request shares with others, for the log.
-std::vector<std::string> RoutedCall::sharedParts() const
+/// Returns the first fingerprints, the content first, as they appear in the lines of the quarantine.
+std::vector<std::string> RoutedCall::loggedFingerprints() const
 {
-    std::vector<std::string> parts;
-    for (std::size_t i = 0; i + 1 < inbound_.prompt.size() && i < MAX_LOGGED_PARTS; ++i)
-        parts.push_back(admission::toHex(admission::fingerprintOfPart(inbound_.prompt[i].id)));
-    return parts;
+    std::vector<std::string> logged;
+    for (std::size_t i = 0; i < fingerprints_.size() && i < MAX_LOGGED_FINGERPRINTS; ++i)
+        logged.push_back(admission::toHex(fingerprints_[i]));
+    return logged;
 }
 
 void RoutedCall::explain(const std::string& event, nlohmann::json fields) const
@@ -390,7 +407,7 @@
     fields["request"] = inbound_.requestId;
     fields["route"] = route_ ? route_->name : "";
     if (event == "broken")
-        fields["parts"] = sharedParts();
+        fields["fingerprints"] = loggedFingerprints();
     fields["service"] = service_;
     fields["config"] = routes_ ? routes_->version() : 0;
     fields["ms"] = env_.requests.loop.now() - exchange_->arrivedAt();
--- a/src/goldcrestcleat/forwarding/RoutedCall.h
+++ b/src/goldcrestcleat/forwarding/RoutedCall.h
@@ -33,9 +33,8 @@
     std::function<void(routing::NodeKey server)> reportUnreachable; ///< no connection could be opened
     std::function<void(routing::NodeKey server)> reportUnresponsive; ///< a request waits for it without progress
     std::function<void(const upstreams::ServerInstance&)> reportLeaving; ///< a response announces that it leaves
-    std::function<void(routing::NodeKey server, admission::Fingerprint, std::uint64_t crashId)>
+    std::function<void(routing::NodeKey server, const admission::InterruptedRun&, bool wasClosedWhileIdle)>
         reportBroken; ///< a response broke off; the server may have crashed
-    std::function<void(admission::Fingerprint)> reportSuccess; ///< a complete response was received
 };
 
 /// A request that is routed to a service by the operator's route table: its admission, its placement by load and cached
@@ -76,7 +75,7 @@
     loop::TimeMs retryAfterMs(errors::ResultCode code) const;
     void refuseUnadmitted(errors::ResultCode code);
     void onFinished(const RequestSummary& summary) const;
-    std::vector<std::string> sharedParts() const;
+    std::vector<std::string> loggedFingerprints() const;
     void explain(const std::string& event, nlohmann::json fields) const;
 
     RoutedEnvironment& env_;
@@ -86,7 +85,7 @@
     const routes::Route* route_ = nullptr;
     const routes::Workspace* workspace_ = nullptr;
     std::string service_;
-    admission::Fingerprint fingerprint_ = 0;
+    std::vector<admission::Fingerprint> fingerprints_;
     loop::TimeMs placedAt_ = 0;
 };
 
--- a/src/goldcrestcleat/gateway/CallerGateway.cpp
+++ b/src/goldcrestcleat/gateway/CallerGateway.cpp
@@ -48,6 +48,17 @@
         return value;
     }
 
+    /// Returns the fingerprints of a chat: its messages are the parts of the prompt.
+    std::vector<admission::Fingerprint> fingerprintsOf(
+        const settings::Workspace& workspace, const std::string& body, const json& messages)
+    {
+        std::vector<std::string> texts;
+        for (const auto& message : messages)
+            texts.push_back(message.dump(-1, ' ', false, json::error_handler_t::replace));
+        return admission::fingerprintsOf(
+            admission::fingerprintOf(workspace.id, body), std::vector<std::string_view>(texts.begin(), texts.end()));
+    }
+
     /// Returns the first message, which identifies a chat that has no id.
     std::string firstMessage(const json& body) { return body["messages"].front().dump(); }
 
@@ -172,7 +183,7 @@
     call.chat = routing::chatKey(call.workspace->id, name);
     call.isReturning = messages->size() > 1;
     call.affinityToken = exchange.header("X-Hint");
-    call.fingerprint = admission::fingerprintOf(call.workspace->id, exchange.body());
+    call.fingerprints = fingerprintsOf(*call.workspace, exchange.body(), *messages);
     return call;
 }
 
--- a/src/goldcrestcleat/requests/ChatCall.h
+++ b/src/goldcrestcleat/requests/ChatCall.h
@@ -21,7 +21,7 @@
     bool isStream = false;
     std::string affinityToken; ///< as the caller sent it, not verified
     nlohmann::json body;
-    admission::Fingerprint fingerprint = 0;
+    std::vector<admission::Fingerprint> fingerprints; ///< the content first, then the messages but the last
 };
 
 } // namespace goldcrestcleat::requests
--- a/src/goldcrestcleat/requests/ChatCompletion.cpp
+++ b/src/goldcrestcleat/requests/ChatCompletion.cpp
@@ -64,7 +64,7 @@
     plan.firstByteTimeoutMs = call_.isStream ? call_.profile.firstTokenMs : PLAIN_ANSWER_MS;
     plan.idleTimeoutMs = call_.isStream ? call_.profile.stallMs : PLAIN_ANSWER_MS;
     plan.failsWhenUnresponsive = true;
-    plan.fingerprint = call_.fingerprint;
+    plan.fingerprints = call_.fingerprints;
     return plan;
 }
 
@@ -225,18 +225,24 @@
     const bool isStall = failure.kind == FailureKind::Unresponsive;
     const std::string runId = isStall || !runId_.empty() || !upstream ? runId_ : upstream->runId;
     const bool wasSuspect = failure.placement.isSuspect;
+    const admission::RunStage stage = failure.stage;
     const bool retriesElsewhere = isStall && !failure.hasResponseStarted;
     const auto self = shared_from_this();
-    env_.prober.probeNow(
-        engine, [self, engine, runId, wasSuspect, retriesElsewhere, onAssessed](const upstreams::ProbeResult& answer) {
+    env_.prober.probeNow(engine,
+        [self, engine, runId, wasSuspect, stage, retriesElsewhere, onAssessed](const upstreams::ProbeResult& answer) {
             const bool isNewRun = !runId.empty() && !answer.runId.empty() && answer.runId != runId;
             const bool hasEnded = !answer.isAlive || isNewRun;
             if (!answer.isAlive)
                 self->env_.directory.onConnectFailed(engine, self->env_.loop.now());
             if (hasEnded) {
                 self->explain("engine-crashed", { { "engine", self->engineId_ } });
-                self->env_.fleet.reportSuspicions(
-                    { { self->call_.fingerprint, crashIdOf(engine, runId), wasSuspect } });
+                admission::CrashReport report;
+                report.crashId = crashIdOf(engine, runId);
+                report.host = engine;
+                report.stage = stage;
+                report.isIsolated = wasSuspect;
+                report.suspects = self->call_.fingerprints;
+                self->env_.fleet.quarantine().reportCrash(report);
             }
             onAssessed(hasEnded || retriesElsewhere ? NextServer::Another : NextServer::Same);
         });
--- a/src/goldcrestcleat/requests/ChatPlacement.cpp
+++ b/src/goldcrestcleat/requests/ChatPlacement.cpp
@@ -92,7 +92,7 @@
             retryLater();
         return;
     }
-    isSuspect_ = env_.quarantine.isSuspect(call_.fingerprint, env_.loop.now());
+    isSuspect_ = env_.quarantine.isSuspect(call_.fingerprints, env_.loop.now());
     const auto self = shared_from_this();
     pendingTicket_ = env_.fleet.tickets().acquire(ticketRequestFor(choice),
         [self, choice](const fleet::TicketResult& result) { self->onTicketResult(choice, result); });
--- a/src/goldcrestcleat/upstreams/ReachabilityChecker.cpp
+++ b/src/goldcrestcleat/upstreams/ReachabilityChecker.cpp
@@ -44,6 +44,26 @@
     pruneSuspicions();
 }
 
+void ReachabilityChecker::checkEnded(NodeKey key)
+{
+    const auto* server = servers_.find(key);
+    if (!server)
+        return;
+    if (server->connectFailures > 0) {
+        onEnded(key);
+        return;
+    }
+    if (!endChecks_.insert(key).second)
+        return;
+    client_.preconnect(server->entry.address, [this, key](bool isOpen) {
+        endChecks_.erase(key);
+        if (isOpen)
+            return;
+        onFailed(key, Source::Local);
+        onEnded(key);
+    });
+}
+
 // ---- private ----
 
 void ReachabilityChecker::check(NodeKey key)
--- a/src/goldcrestcleat/upstreams/ReachabilityChecker.h
+++ b/src/goldcrestcleat/upstreams/ReachabilityChecker.h
@@ -32,6 +32,13 @@
     /// Checks a server that is unresponsive, or that a peer could not reach.
     void suspect(routing::NodeKey server, Source source);
 
+    /// Checks at once a server that interrupted an answer. If it is already known to be unreachable, reports that
+    /// again.
+    void checkEnded(routing::NodeKey server);
+
+    /// Called when a server turns out to be unreachable after `checkEnded`.
+    std::function<void(routing::NodeKey server)> onEnded;
+
     /// Called when a server becomes unreachable, once until it has been reached again.
     std::function<void(routing::NodeKey server, Source source)> onUnreachable;
 
@@ -47,6 +54,7 @@
     const observe::Log& log_;
     std::set<routing::NodeKey> scheduled_;
     std::map<routing::NodeKey, loop::TimeMs> suspectedAt_;
+    std::set<routing::NodeKey> endChecks_; // open checks whether a server has ended
 };
 
 } // namespace goldcrestcleat::upstreams
--- a/tests/unit/RoutedFixture.h
+++ b/tests/unit/RoutedFixture.h
@@ -130,12 +130,13 @@
     routing::ServiceDurations durations;
     std::map<std::string, int> arrivals; ///< number of requests by server
     std::vector<upstreams::ServerInstance> reportedLeaving;
+    std::vector<admission::InterruptedRun> interruptedRuns;
+    admission::Quarantine quarantine;
 
 private:
     settings::FrontSettings settings_;
     observe::Log log_ { "vm1", "error" };
     observe::Metrics metrics_;
-    admission::Quarantine quarantine_;
     admission::SharedRetryBudget retryBudget_;
     routing::ChatAffinityCache contexts_ { 4'096 };
     std::mt19937_64 random_ { 1 };
@@ -143,7 +144,7 @@
     forwarding::Dialect dialect_ = platform::makeHeaderDialect();
     http::Client serverClient_ { loop, http::Limits() };
     http::Client callerClient_ { loop, http::Limits() };
-    forwarding::Environment environment_ { loop, serverClient_, metrics_, quarantine_, {}, nullptr };
+    forwarding::Environment environment_ { loop, serverClient_, metrics_, quarantine, {}, nullptr };
     forwarding::RoutedEnvironment routedEnvironment_ { environment_, settings_, log_, servers, paces, durations,
         retryBudget_, contexts_, dialect_, random_, [] { return 0; }, [this] { return routes_; },
         [](routing::NodeKey) {}, [](routing::NodeKey) {},
@@ -151,7 +152,7 @@
             if (servers.markLeaving(instance))
                 reportedLeaving.push_back(instance);
         },
-        [](routing::NodeKey, admission::Fingerprint, std::uint64_t) {}, [](admission::Fingerprint) {} };
+        [this](routing::NodeKey, const admission::InterruptedRun& run, bool) { interruptedRuns.push_back(run); } };
     std::map<std::string, std::unique_ptr<http::Server>> listeners_;
     std::map<std::string, std::string> addresses_; // by server id
     int calls_ = 0;
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -57,39 +57,6 @@
     cr_assert_not(queue.pop().has_value());
 }
 
-Test(quarantine, requests_with_the_same_content_are_banned_by_three_crashes_and_not_by_two)
-{
-    Quarantine q;
-    q.record({ 5, 100, false }, 1);
-    q.record({ 5, 101, false }, 1);
-    cr_assert_not(q.isBanned(5, 1));
-    q.record({ 5, 102, false }, 1);
-    cr_assert(q.isBanned(5, 1));
-}
-
-Test(quarantine, a_second_crash_as_a_suspect_bans_a_request_temporarily)
-{
-    Quarantine q;
-    const auto now = Quarantine::RETENTION_MS * 2;
-    cr_assert(q.record({ 5, 100, false }, now));
-    cr_assert(not q.record({ 5, 100, false }, now), "the same crash counts once");
-    cr_assert(q.isSuspect(5, now));
-    cr_assert_not(q.isBanned(5, now));
-    cr_assert(q.record({ 5, 101, true }, now));
-    cr_assert(q.isBanned(5, now));
-    cr_assert_not(q.isBanned(6, now));
-    cr_assert_not(q.isBanned(5, now + Quarantine::RETENTION_MS + 1));
-    cr_assert_eq(q.current(now).size(), 2);
-}
-
-Test(quarantine, the_number_of_entries_is_limited)
-{
-    Quarantine q;
-    for (Fingerprint f = 1; f <= Quarantine::MAX_ENTRIES + 100; ++f)
-        q.record({ f, 1, false }, static_cast<goldcrestcleat::loop::TimeMs>(f));
-    cr_assert_eq(q.current(1).size(), Quarantine::MAX_ENTRIES);
-}
-
 Test(quarantine, workspaces_do_not_share_fingerprints)
 {
     cr_assert_neq(fingerprintOf("a", "body"), fingerprintOf("b", "body"));
--- a/tests/unit/forwarding_parts_test.cpp
+++ b/tests/unit/forwarding_parts_test.cpp
@@ -1,5 +1,3 @@
-#include "goldcrestcleat/admission/CrashAttribution.h"
-#include "goldcrestcleat/admission/Quarantine.h"
 #include "goldcrestcleat/admission/SharedRetryBudget.h"
 #include "goldcrestcleat/forwarding/EventReader.h"
 
@@ -70,37 +68,3 @@
     cr_assert_not(budget.tryTake("s", 9'999));
     cr_assert(budget.tryTake("s", 10'000));
 }
-
-Test(crash_evidence, a_broken_answer_makes_a_suspect_only_if_the_server_ends_soon)
-{
-    admission::CrashAttribution evidence;
-    evidence.onAnswerInterrupted(1, 5, 100, 0);
-    evidence.onAnswerInterrupted(2, 6, 101, 0);
-    const auto suspicions = evidence.onProcessEnded(1, 1'000);
-    cr_assert_eq(suspicions.size(), 1);
-    cr_assert(suspicions[0].fingerprint == 5 && suspicions[0].crashId == 100);
-    cr_assert(evidence.onProcessEnded(1, 1'000).empty(), "the end of a server counts once");
-    cr_assert(evidence.onProcessEnded(2, 9'000).empty(), "the server ended long after the broken answer");
-}
-
-Test(quarantine, a_ban_expires_and_the_next_crash_doubles_its_duration)
-{
-    admission::Quarantine quarantine(20'000);
-    for (std::uint64_t crash = 1; crash <= 3; ++crash)
-        quarantine.record({ 5, crash, false }, 0);
-    cr_assert(quarantine.isBanned(5, 19'999));
-    cr_assert_not(quarantine.isBanned(5, 20'000));
-    quarantine.record({ 5, 4, false }, 21'000);
-    cr_assert(quarantine.isBanned(5, 60'999));
-    cr_assert_not(quarantine.isBanned(5, 61'000));
-}
-
-Test(quarantine, an_answered_request_is_not_banned_any_more)
-{
-    admission::Quarantine quarantine;
-    for (std::uint64_t crash = 1; crash <= 3; ++crash)
-        quarantine.record({ 5, crash, false }, 0);
-    cr_assert(quarantine.isBanned(5, 0));
-    quarantine.clearSuspicion(5);
-    cr_assert_not(quarantine.isBanned(5, 0));
-}
