Do not take a late copy of a refusal, or a connection's end, for an answer

Cause: servers' refusals name no request. One that came again on a kept connection was taken for the answer to the next request. An answer without length or chunks whose server ended before its first event looked like an empty stream; the own interface ended a broken stream with its last chunk. Class: an absent field read as a statement. Change: a connection on which a refusal without a request id arrived is not used again; such a stream without events is broken; the own interface truncates the stream after its error event. Ruled out by tests that passed before: the error of a next server inside a stream, heads and bodies that end early, resets after answers without length.

--- a/src/goldcrestcleat/Daemon.cpp
+++ b/src/goldcrestcleat/Daemon.cpp
@@ -82,15 +82,9 @@
     void connectHooks()
     {
         configCache_.onChange = [this](const fleet::ConfigCache::Item& item) { onConfigChanged(item); };
+        fleet_.onVerdict = [this](const admission::Verdict& verdict) { fleet::showVerdict(metrics_, verdict); };
         fleet_.onBan = [this](admission::Fingerprint fingerprint) { onBan(fingerprint); };
-        auto& quarantine = fleet_.quarantine();
-        forwardingEnvironment_.onAnswerBegun
-            = [&quarantine](const auto& fingerprints) { quarantine.recordAnswer(fingerprints); };
-        forwardingEnvironment_.claimProbe = [&quarantine](admission::Fingerprint fingerprint, const auto& onDone) {
-            quarantine.claimProbe(fingerprint, onDone);
-        };
-        forwardingEnvironment_.onProbeAnswered
-            = [&quarantine](admission::Fingerprint fingerprint) { quarantine.onProbeAnswered(fingerprint); };
+        forwardingEnvironment_.quarantineHooks = fleet_.quarantine().requestHooks();
         directory_.onChange = [this](const upstreams::Upstream& upstream) { onUpstreamChanged(upstream); };
         fleet_.tickets().onMove
             = [this](routing::NodeKey engine) { requests::moveYoungestStreamFrom(forwardingEnvironment_, engine); };
--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -73,7 +73,9 @@
                   [this] { return paceTracker_.observedSlow(loop_.now()); },
                   [this](
                       routing::NodeKey server, double slowness) { paceTracker_.report(server, slowness, loop_.now()); },
-                  [this](admission::Fingerprint fingerprint) { onBan(fingerprint); }, [this] { updateReadiness(); } })
+                  [this](admission::Fingerprint fingerprint) { onBan(fingerprint); },
+                  [this](const admission::Verdict& verdict) { fleet::showVerdict(metrics_, verdict); },
+                  [this] { updateReadiness(); } })
         , forwardingEnvironment_ { loop_, httpClient_, metrics_, quarantine_, {}, nullptr }
         , routedEnvironment_ { forwardingEnvironment_, settings_, log_, serverRegistry_, paceTracker_,
             serviceDurations_, retryBudget_, contextMemory_, adapter_.dialect, random_,
@@ -140,14 +142,7 @@
         forwardingEnvironment_.onFinished = [this](const forwarding::RequestSummary& summary) {
             secondSummary_.add(summary.kind, summary.code, summary.timeToHeadMs);
         };
-        auto& quarantine = membership_.quarantine();
-        forwardingEnvironment_.onAnswerBegun
-            = [&quarantine](const auto& fingerprints) { quarantine.recordAnswer(fingerprints); };
-        forwardingEnvironment_.claimProbe = [&quarantine](admission::Fingerprint fingerprint, const auto& onDone) {
-            quarantine.claimProbe(fingerprint, onDone);
-        };
-        forwardingEnvironment_.onProbeAnswered
-            = [&quarantine](admission::Fingerprint fingerprint) { quarantine.onProbeAnswered(fingerprint); };
+        forwardingEnvironment_.quarantineHooks = membership_.quarantine().requestHooks();
         membership_.shareTable(configurationWatcher_);
         membership_.shareTable(serversWatcher_);
         updateRetryBudget();
--- a/src/goldcrestcleat/admission/Verdict.cpp
+++ b/src/goldcrestcleat/admission/Verdict.cpp
@@ -8,6 +8,13 @@
 
 bool operator==(const Verdict& a, const Verdict& b) { return toJson(a) == toJson(b); }
 
+std::string describe(const Verdict& verdict)
+{
+    return (isPart(verdict.fingerprint) ? "prompt part " : "content ") + toHex(verdict.fingerprint) + " was present at "
+        + std::to_string(verdict.crashes) + " crashes of servers, with " + std::to_string(verdict.answers)
+        + " answers since";
+}
+
 json toJson(const Verdict& verdict)
 {
     return { { "fingerprint", toHex(verdict.fingerprint) }, { "revision", verdict.revision },
--- a/src/goldcrestcleat/admission/Verdict.h
+++ b/src/goldcrestcleat/admission/Verdict.h
@@ -25,6 +25,9 @@
     friend bool operator==(const Verdict& a, const Verdict& b);
 };
 
+/// Returns a sentence for logs and operators: what is refused, and the counts for and against it.
+std::string describe(const Verdict& verdict);
+
 /// Returns the JSON document of a verdict, which is also that of its row in the store.
 nlohmann::json toJson(const Verdict& verdict);
 
--- a/src/goldcrestcleat/fleet/Fleet.cpp
+++ b/src/goldcrestcleat/fleet/Fleet.cpp
@@ -349,6 +349,10 @@
         if (onBan)
             onBan(fingerprint);
     };
+    hooks.onVerdict = [this](const admission::Verdict& verdict) {
+        if (onVerdict)
+            onVerdict(verdict);
+    };
     return hooks;
 }
 
--- a/src/goldcrestcleat/fleet/Fleet.h
+++ b/src/goldcrestcleat/fleet/Fleet.h
@@ -61,6 +61,9 @@
     /// Called when requests with a fingerprint are refused from now on.
     std::function<void(admission::Fingerprint)> onBan;
 
+    /// Called when a verdict of the quarantine is new or has changed. May be unset.
+    std::function<void(const admission::Verdict&)> onVerdict;
+
     /// Notifies the peers that an upstream began to leave, went down or came up.
     void announce(const upstreams::Upstream& upstream);
 
--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -90,6 +90,10 @@
               [this](admission::Fingerprint fingerprint) {
                   if (hooks_.onBan)
                       hooks_.onBan(fingerprint);
+              },
+              [this](const admission::Verdict& verdict) {
+                  if (hooks_.onVerdict)
+                      hooks_.onVerdict(verdict);
               } })
     , renewalMs_(renewalMs)
 {
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -40,6 +40,7 @@
         std::function<void(routing::NodeKey server, double slowness)>
             onSlowServer {}; ///< a peer observes a slow server
         std::function<void(admission::Fingerprint)> onBan {}; ///< requests are refused from now on; may be unset
+        std::function<void(const admission::Verdict&)> onVerdict {}; ///< one is new or has changed; may be unset
         std::function<void()> onVerdictsLoaded {}; ///< the verdicts of the quarantine are known; may be unset
     };
 
--- a/src/goldcrestcleat/fleet/SharedQuarantine.cpp
+++ b/src/goldcrestcleat/fleet/SharedQuarantine.cpp
@@ -32,6 +32,13 @@
 {
 }
 
+admission::QuarantineHooks SharedQuarantine::requestHooks()
+{
+    return { [this](const std::vector<Fingerprint>& fingerprints) { recordAnswer(fingerprints); },
+        [this](Fingerprint fingerprint, const std::function<void(bool)>& onDone) { claimProbe(fingerprint, onDone); },
+        [this](Fingerprint fingerprint) { onProbeAnswered(fingerprint); } };
+}
+
 void SharedQuarantine::start()
 {
     loop_.every(READ_INTERVAL_MS, [this] {
@@ -130,7 +137,7 @@
             quarantine_.apply(next);
             ownProbes_.insert(next.fingerprint);
             hooks_.broadcast(Verdicts { { next } });
-            logVerdict("quarantine-probe", next, "self");
+            publish("quarantine-probe", next, "self");
         }
         onDone(outcome == SaveOutcome::Saved);
     });
@@ -161,7 +168,7 @@
 void SharedQuarantine::onBans(const std::vector<Verdict>& bans, bool isOwnReport)
 {
     for (const auto& ban : bans) {
-        logVerdict("quarantined", ban, isOwnReport ? "self" : "reports");
+        publish("quarantined", ban, isOwnReport ? "self" : "reports");
         hooks_.onBan(ban.fingerprint);
         if (isOwnReport) {
             hooks_.broadcast(Verdicts { { ban } });
@@ -175,7 +182,7 @@
 void SharedQuarantine::applyOwnChange(const Verdict& verdict)
 {
     quarantine_.apply(verdict);
-    logVerdict(verdict.isBanned ? "quarantined" : "quarantine-lifted", verdict, "self");
+    publish(verdict.isBanned ? "quarantined" : "quarantine-lifted", verdict, "self");
     hooks_.broadcast(Verdicts { { verdict } });
     save(verdict.fingerprint);
 }
@@ -184,7 +191,7 @@
 {
     if (!quarantine_.apply(verdict))
         return;
-    logVerdict(verdict.isBanned ? "quarantined" : "quarantine-lifted", verdict, source);
+    publish(verdict.isBanned ? "quarantined" : "quarantine-lifted", verdict, source);
     if (!verdict.isBanned)
         return;
     hooks_.onBan(verdict.fingerprint);
@@ -234,11 +241,22 @@
     });
 }
 
-void SharedQuarantine::logVerdict(const char* event, const Verdict& verdict, const char* source) const
+void SharedQuarantine::publish(const char* event, const Verdict& verdict, const char* source) const
 {
     nlohmann::json fields = admission::toJson(verdict);
     fields["source"] = source;
     log_.info(event, std::move(fields));
+    if (hooks_.onVerdict)
+        hooks_.onVerdict(verdict);
+}
+
+void showVerdict(observe::Metrics& metrics, const Verdict& verdict)
+{
+    const std::string fingerprint = admission::toHex(verdict.fingerprint);
+    if (verdict.isBanned)
+        metrics.setBan(fingerprint, verdict.crashes, verdict.answers);
+    else
+        metrics.removeBan(fingerprint);
 }
 
 } // namespace goldcrestcleat::fleet
--- a/src/goldcrestcleat/fleet/SharedQuarantine.h
+++ b/src/goldcrestcleat/fleet/SharedQuarantine.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "goldcrestcleat/admission/Quarantine.h"
+#include "goldcrestcleat/admission/QuarantineHooks.h"
 #include "goldcrestcleat/fleet/PeerMessages.h"
 #include "goldcrestcleat/observe/Log.h"
+#include "goldcrestcleat/observe/Metrics.h"
 
 #include <functional>
 #include <random>
@@ -38,6 +40,7 @@
         std::function<bool()> savesForOthers;
 
         std::function<void(admission::Fingerprint)> onBan; ///< open requests may have to be cancelled
+        std::function<void(const admission::Verdict&)> onVerdict {}; ///< a verdict is new or has changed; may be unset
     };
 
     static constexpr loop::TimeMs MAX_ANSWER_DELAY_MS = 80;
@@ -47,6 +50,9 @@
     SharedQuarantine(loop::EventLoop& loop, const observe::Log& log, admission::Quarantine& quarantine,
         std::string self, Hooks hooks);
 
+    /// Returns the hooks for the requests of this daemon; they refer to this object.
+    admission::QuarantineHooks requestHooks();
+
     /// Starts to save and to read verdicts periodically.
     void start();
 
@@ -80,7 +86,7 @@
     void sendAnswers();
     void saveLater(admission::Fingerprint fingerprint, loop::TimeMs delayMs);
     void save(admission::Fingerprint fingerprint);
-    void logVerdict(const char* event, const admission::Verdict& verdict, const char* source) const;
+    void publish(const char* event, const admission::Verdict& verdict, const char* source) const;
 
     loop::EventLoop& loop_;
     const observe::Log& log_;
@@ -94,4 +100,7 @@
     bool sendsAnswers_ = false; // the timer is armed
 };
 
+/// Sets or removes the gauges of a verdict's fingerprint.
+void showVerdict(observe::Metrics& metrics, const admission::Verdict& verdict);
+
 } // namespace goldcrestcleat::fleet
--- a/src/goldcrestcleat/forwarding/Dialect.h
+++ b/src/goldcrestcleat/forwarding/Dialect.h
@@ -50,6 +50,9 @@
     /// Returns true if a response on a connection belongs to the request.
     std::function<bool(const Poco::Net::HTTPResponse&, const std::string& requestId)> isResponseTo;
 
+    /// Returns true if a response names the request that it belongs to.
+    std::function<bool(const Poco::Net::HTTPResponse&)> isIdentified;
+
     std::function<ResponseHead(const Poco::Net::HTTPResponse&)> readHead;
 
     /// Sends an error response that originates in this fleet. `retryAfterMs` 0 omits the retry time.
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
@@ -105,18 +105,26 @@
     });
 }
 
+/// Ends the request because of a ban.
+void ForwardedRequest::failQuarantined(admission::Fingerprint fingerprint)
+{
+    const auto* ban = env_.quarantine.find(fingerprint);
+    env_.metrics.onQuarantineRefusal(admission::toHex(fingerprint));
+    fail(ResultCode::Quarantined, ban ? admission::describe(*ban) : "");
+}
+
 /// Returns false if the request is refused, or if it is not yet known whether it may be sent as a probe.
 bool ForwardedRequest::passesQuarantine()
 {
     const auto* ban = env_.quarantine.findBan(plan_.fingerprints);
     if (!ban || probedBan_)
         return true;
-    if (attemptCount_ > 0 || !env_.claimProbe || !env_.quarantine.isProbeDue(*ban)) {
-        fail(ResultCode::Quarantined, admission::toHex(ban->fingerprint));
+    if (attemptCount_ > 0 || !env_.quarantineHooks.claimProbe || !env_.quarantine.isProbeDue(*ban)) {
+        failQuarantined(ban->fingerprint);
         return false;
     }
     probedBan_ = ban->fingerprint;
-    env_.claimProbe(ban->fingerprint, [weak = weak_from_this()](bool isClaimed) {
+    env_.quarantineHooks.claimProbe(ban->fingerprint, [weak = weak_from_this()](bool isClaimed) {
         if (const auto self = weak.lock())
             self->onProbeClaimed(isClaimed);
     });
@@ -131,8 +139,7 @@
         place();
         return;
     }
-    const std::string fingerprint = admission::toHex(*std::exchange(probedBan_, std::nullopt));
-    fail(ResultCode::Quarantined, fingerprint);
+    failQuarantined(*std::exchange(probedBan_, std::nullopt));
 }
 
 void ForwardedRequest::onPlaced(const PlacementResult& result)
@@ -179,6 +186,10 @@
         const auto self = weak.lock();
         return self && self->hooks_.isOwnResponse(head);
     };
+    hooks.isIdentified = [weak](const Poco::Net::HTTPResponse& head) {
+        const auto self = weak.lock();
+        return self && (!self->hooks_.isIdentified || self->hooks_.isIdentified(head));
+    };
     hooks.onHead = [current](const Poco::Net::HTTPResponse& head) {
         if (const auto self = current())
             self->onHead(head);
@@ -305,7 +316,7 @@
         return;
     if (attempt_.call && attempt_.call->isConnected())
         ++possibleRuns_;
-    fail(ResultCode::Quarantined, admission::toHex(fingerprint));
+    failQuarantined(fingerprint);
 }
 
 void ForwardedRequest::onTimeout()
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "goldcrestcleat/admission/QuarantineHooks.h"
 #include "goldcrestcleat/forwarding/RequestHooks.h"
 #include "goldcrestcleat/http/Server.h"
 #include "goldcrestcleat/observe/Metrics.h"
@@ -18,15 +19,7 @@
     admission::Quarantine& quarantine;
     std::set<std::shared_ptr<ForwardedRequest>> openRequests; ///< unfinished requests
     std::function<void(const RequestSummary&)> onFinished; ///< may be unset
-
-    /// A server survived the beginning of its answer to a request with these fingerprints. May be unset.
-    std::function<void(const std::vector<admission::Fingerprint>&)> onAnswerBegun {};
-
-    /// Claims a probe of a ban; reports whether one request may be sent in spite of it. Without it, none is.
-    std::function<void(admission::Fingerprint, std::function<void(bool)>)> claimProbe {};
-
-    /// The probe that this daemon sent was answered. Set if `claimProbe` is.
-    std::function<void(admission::Fingerprint)> onProbeAnswered {};
+    admission::QuarantineHooks quarantineHooks {};
 };
 
 /// State machine of one caller's request, from its admission to the last byte of its response.
@@ -73,12 +66,14 @@
         std::string body; ///< of a response that is not a stream
         loop::TimeMs sentAt = 0;
         std::optional<loop::TimeMs> headAt; ///< when the response head arrived
+        bool endsWithConnection = false; ///< the response has neither a length nor chunks
         bool hasSurvived = false; ///< the server has survived the beginning of its answer
     };
 
     // Placement and sending.
     void place();
     bool passesQuarantine();
+    void failQuarantined(admission::Fingerprint fingerprint);
     void onProbeClaimed(bool isClaimed);
     void onPlaced(const PlacementResult& result);
     void send(const Placement& placement, http::Client::Reuse reuse);
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -42,6 +42,7 @@
 {
     attempt_.head = hooks_.readHead(head);
     attempt_.headAt = env_.loop.now();
+    attempt_.endsWithConnection = !head.has("Content-Length") && !head.has("Transfer-Encoding");
     if (hooks_.onHead)
         hooks_.onHead(attempt_.placement, attempt_.head);
     if (timeToHeadMs_ == 0)
@@ -71,10 +72,10 @@
 {
     if (std::exchange(attempt_.hasSurvived, true))
         return;
-    if (env_.onAnswerBegun)
-        env_.onAnswerBegun(plan_.fingerprints);
-    if (probedBan_ && env_.onProbeAnswered)
-        env_.onProbeAnswered(*probedBan_);
+    if (env_.quarantineHooks.onAnswerBegun)
+        env_.quarantineHooks.onAnswerBegun(plan_.fingerprints);
+    if (probedBan_ && env_.quarantineHooks.onProbeAnswered)
+        env_.quarantineHooks.onProbeAnswered(*probedBan_);
 }
 
 void ForwardedRequest::onBody(std::string_view part)
@@ -152,7 +153,10 @@
     else if (!isEventStream())
         finishBuffered();
     else if (attempt_.events.hasPartialEvent() || plan_.requiresEndMarker)
-        onBroken(FailureKind::Invalid, "stream ended before it was complete");
+        onBroken(FailureKind::Broken, "stream ended before it was complete");
+    else if (attempt_.endsWithConnection
+        && !attempt_.hasBody) // a server that ends closes its connections in the same way
+        onBroken(FailureKind::Broken, "connection closed before the first event");
     else
         finishStream();
 }
@@ -249,7 +253,7 @@
     if (isEnded_)
         return;
     if (const auto* ban = env_.quarantine.findBan(plan_.fingerprints))
-        fail(ResultCode::Quarantined, admission::toHex(ban->fingerprint));
+        failQuarantined(ban->fingerprint);
     else if (mayRunAgain() && takeRetry())
         retry(labelOf(kind), next);
     else
--- a/src/goldcrestcleat/forwarding/RequestHooks.h
+++ b/src/goldcrestcleat/forwarding/RequestHooks.h
@@ -145,6 +145,7 @@
     std::function<void(const Placement& from, PlacedHook)> findLessLoaded; ///< searches for a less loaded server
     std::function<void(const Placement&)> suspect; ///< the server has made no progress for a while
     std::function<void(const Placement&, const ResponseHead&)> onHead; ///< a response to this request has begun
+    std::function<bool(const Poco::Net::HTTPResponse&)> isIdentified; ///< the response names the request that it is for
     std::function<void(const Placement&, loop::TimeMs)> recordPace; ///< time taken for the next event of a stream
 
     // Servers.
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -157,6 +157,7 @@
     hooks.encode = [this](const Placement& placement, const Progress& progress) { return encode(placement, progress); };
     hooks.isOwnResponse
         = [this](const Poco::Net::HTTPResponse& head) { return env_.dialect.isResponseTo(head, inbound_.requestId); };
+    hooks.isIdentified = env_.dialect.isIdentified;
     hooks.readHead = [this](const Poco::Net::HTTPResponse& response) {
         ResponseHead head = env_.dialect.readHead(response);
         head.isFailure = head.status >= MIN_FAILURE_STATUS;
--- a/src/goldcrestcleat/http/Client.cpp
+++ b/src/goldcrestcleat/http/Client.cpp
@@ -208,6 +208,8 @@
         self->progress_ = FailurePoint::ResponseStarted;
         self->advertisedIdleMs_ = advertisedIdleLimit(head);
         self->keepAlive_ = head.getKeepAlive() && (head.has("Content-Length") || head.has("Transfer-Encoding"));
+        if (self->hooks_.isIdentified && !self->hooks_.isIdentified(head))
+            self->keepAlive_ = false;
         if (self->hooks_.onHead)
             self->hooks_.onHead(head);
     };
--- a/src/goldcrestcleat/http/Client.h
+++ b/src/goldcrestcleat/http/Client.h
@@ -33,6 +33,9 @@
     struct Hooks {
         /// Returns whether a response belongs to this call; others are discarded. When unset, every response does.
         std::function<bool(const Poco::Net::HTTPResponse&)> isOwnResponse;
+        /// Returns whether a copy of the response could be told from the response to a later call; if not, the
+        /// connection is not used again. When unset, it could.
+        std::function<bool(const Poco::Net::HTTPResponse&)> isIdentified;
         std::function<void(const Poco::Net::HTTPResponse&)> onHead;
         std::function<void(std::string_view)> onBody;
         std::function<void()> onEnd;
--- a/src/goldcrestcleat/http/Server.cpp
+++ b/src/goldcrestcleat/http/Server.cpp
@@ -118,6 +118,16 @@
     session->endExchange(head_.getKeepAlive() && !session->closesAfterResponse());
 }
 
+void Exchange::truncateStream()
+{
+    const auto session = session_.lock();
+    if (!session || !streaming_ || responded_)
+        return;
+    responded_ = true;
+    streaming_ = false;
+    session->endExchange(false);
+}
+
 void Exchange::abort()
 {
     responded_ = true;
--- a/src/goldcrestcleat/http/Server.h
+++ b/src/goldcrestcleat/http/Server.h
@@ -46,6 +46,9 @@
     void write(std::string_view part);
     void finishStream();
 
+    /// Sends the parts written so far and closes the connection without the end of the chunked encoding.
+    void truncateStream();
+
     /// Closes the connection, which shows the caller that the response is incomplete.
     void abort();
 
--- a/src/goldcrestcleat/observe/Metrics.cpp
+++ b/src/goldcrestcleat/observe/Metrics.cpp
@@ -59,6 +59,16 @@
     , storeCalls_(counter(*registry_, "goldcrestcleat_store_calls_total", "Calls to the store by call and outcome"))
     , logLinesLost_(counter(*registry_, "goldcrestcleat_log_lines_lost_total",
           "Lines left out to bound the volume, or not taken by a reader"))
+    , quarantineRefusals_(counter(*registry_, "goldcrestcleat_quarantine_refusals_total",
+          "Requests refused because they crash servers, by the fingerprint that is banned"))
+    , banCrashes_(prometheus::BuildGauge()
+                      .Name("goldcrestcleat_quarantine_crashes")
+                      .Help("Crashes of servers at which a banned fingerprint was present")
+                      .Register(*registry_))
+    , banAnswers_(prometheus::BuildGauge()
+                      .Name("goldcrestcleat_quarantine_answers")
+                      .Help("Answers to requests with a banned fingerprint since its first crash")
+                      .Register(*registry_))
     , engineLoad_(prometheus::BuildGauge()
                       .Name("goldcrestcleat_engine_load")
                       .Help("Requests on an engine, as known here")
@@ -129,6 +139,32 @@
 
 void Metrics::onRetry(const std::string& reason) { retries_.Add({ { "reason", reason } }).Increment(); }
 
+void Metrics::onQuarantineRefusal(const std::string& fingerprint)
+{
+    quarantineRefusals_.Add({ { "fingerprint", fingerprint } }).Increment();
+}
+
+void Metrics::setBan(const std::string& fingerprint, int crashes, int answers)
+{
+    auto& [crashGauge, answerGauge] = bans_[fingerprint];
+    if (!crashGauge) {
+        crashGauge = &banCrashes_.Add({ { "fingerprint", fingerprint } });
+        answerGauge = &banAnswers_.Add({ { "fingerprint", fingerprint } });
+    }
+    crashGauge->Set(crashes);
+    answerGauge->Set(answers);
+}
+
+void Metrics::removeBan(const std::string& fingerprint)
+{
+    const auto found = bans_.find(fingerprint);
+    if (found == bans_.end())
+        return;
+    banCrashes_.Remove(found->second.first);
+    banAnswers_.Remove(found->second.second);
+    bans_.erase(found);
+}
+
 void Metrics::setControlBytes(const std::string& kind, std::uint64_t total)
 {
     increaseTo(controlBytes_.Add({ { "kind", kind } }), total);
--- a/src/goldcrestcleat/observe/Metrics.h
+++ b/src/goldcrestcleat/observe/Metrics.h
@@ -38,6 +38,15 @@
 
     void onRetry(const std::string& reason);
 
+    /// Counts a request that is refused because it crashes servers, by the fingerprint that is banned.
+    void onQuarantineRefusal(const std::string& fingerprint);
+
+    /// Sets what is known of a banned fingerprint: the crashes at which it was present, and the answers since.
+    void setBan(const std::string& fingerprint, int crashes, int answers);
+
+    /// Removes the gauges of a fingerprint that is no longer banned.
+    void removeBan(const std::string& fingerprint);
+
     /// Counts a call to the store. `call` is "read", "watch" or "commit".
     void onStoreCall(const std::string& call, const std::string& outcome);
 
@@ -84,6 +93,9 @@
     CounterFamily& sharedTokens_;
     CounterFamily& storeCalls_;
     CounterFamily& logLinesLost_;
+    CounterFamily& quarantineRefusals_;
+    prometheus::Family<prometheus::Gauge>& banCrashes_;
+    prometheus::Family<prometheus::Gauge>& banAnswers_;
     prometheus::Family<prometheus::Gauge>& engineLoad_;
     prometheus::Family<prometheus::Gauge>& retriesLeft_;
     HistogramFamily& firstAnswer_;
@@ -99,6 +111,7 @@
     prometheus::Gauge* peersUp_;
     prometheus::Gauge* oldestReport_;
     std::map<std::string, prometheus::Gauge*> engineLoads_;
+    std::map<std::string, std::pair<prometheus::Gauge*, prometheus::Gauge*>> bans_; // crashes and answers
     std::map<std::pair<std::string, int>, prometheus::Counter*> requestCounters_;
 };
 
--- a/src/goldcrestcleat/requests/ErrorResponse.cpp
+++ b/src/goldcrestcleat/requests/ErrorResponse.cpp
@@ -28,7 +28,7 @@
     const std::string body = errorBody(response, requestId);
     if (exchange.isStreaming()) {
         exchange.write("data: " + body + "\n\n");
-        exchange.finishStream(); // without the end marker, which only a complete answer has
+        exchange.truncateStream(); // a caller must not take it for complete, even one that does not know the end marker
         return;
     }
     http::Fields fields = { { "Content-Type", "application/json" }, { "X-Request-Id", requestId } };
--- a/src/goldcrestcleat/requests/ErrorResponse.h
+++ b/src/goldcrestcleat/requests/ErrorResponse.h
@@ -20,7 +20,7 @@
 /// Returns the JSON body of an error response.
 std::string errorBody(const ErrorResponse& response, const std::string& requestId);
 
-/// Sends an error response; in a stream that has begun, as an error event without the end marker.
+/// Sends an error response; in a stream that has begun, as an error event after which the stream is truncated.
 void refuse(http::Exchange& exchange, const ErrorResponse& response, const std::string& requestId);
 
 } // namespace goldcrestcleat::requests
--- a/tests/unit/RoutedFixture.h
+++ b/tests/unit/RoutedFixture.h
@@ -116,6 +116,8 @@
         return answer;
     }
 
+    std::string callerAddress() const { return callers_.address(); }
+
     /// Runs the loop until a condition holds; if it never does, the timeout of the test ends it.
     void runUntil(const std::function<bool()>& condition)
     {
