Quarantine: count no crashes whose answers a daemon has not received

Cause: a daemon that had just started got the crashes of the last ten minutes from its peers, but not the answers between them, and banned the part that all prompts of the soak share. Change: only verdicts are sent when a link opens; an end of a server counts less for a part if no answer had begun.

--- a/src/goldcrestcleat/admission/CrashEvidence.cpp
+++ b/src/goldcrestcleat/admission/CrashEvidence.cpp
@@ -151,13 +151,18 @@
 
 int CrashEvidence::weightOf(Fingerprint fingerprint, const Crash& crash, const CrashReport& report) const
 {
-    // Requests that share a part tend to use the same servers, and one of these may be faulty.
-    const bool isRepeated
-        = isPart(fingerprint) && std::any_of(crashes_.begin(), crashes_.end(), [&](const Crash& earlier) {
-              const bool isSameHost = earlier.report.host == crash.report.host && &earlier != &crash;
-              return isSameHost && earlier.at <= crash.at && crash.at - earlier.at < REPETITION_MS;
-          });
-    return (isRepeated ? REPEATED_CRASH_WEIGHT : CRASH_WEIGHT) * (report.isIsolated ? ISOLATION_FACTOR : 1);
+    const bool isUncertain = isPart(fingerprint) && (report.stage != RunStage::Begun || hasEndedBefore(crash));
+    return (isUncertain ? UNCERTAIN_CRASH_WEIGHT : CRASH_WEIGHT) * (report.isIsolated ? ISOLATION_FACTOR : 1);
+}
+
+/// Returns whether the server had ended a short time before. Requests that share a part tend to use the same servers,
+/// and one of these may be faulty.
+bool CrashEvidence::hasEndedBefore(const Crash& crash) const
+{
+    return std::any_of(crashes_.begin(), crashes_.end(), [&](const Crash& earlier) {
+        const bool isSameHost = earlier.report.host == crash.report.host && &earlier != &crash;
+        return isSameHost && earlier.at <= crash.at && crash.at - earlier.at < REPETITION_MS;
+    });
 }
 
 void CrashEvidence::charge(Fingerprint fingerprint, const Crash& crash, const CrashReport& report, loop::TimeMs now)
--- a/src/goldcrestcleat/admission/CrashEvidence.h
+++ b/src/goldcrestcleat/admission/CrashEvidence.h
@@ -21,7 +21,7 @@
 class CrashEvidence {
 public:
     static constexpr int CRASH_WEIGHT = 6;
-    static constexpr int REPEATED_CRASH_WEIGHT = 4; ///< for parts, if the server ended a short time before as well
+    static constexpr int UNCERTAIN_CRASH_WEIGHT = 4; ///< for parts, if there may well be another cause
     static constexpr int ISOLATION_FACTOR = 2; ///< applied to the weight if no other suspect ran there
     static constexpr int ANSWER_WEIGHT = 1;
     static constexpr int BAN_SCORE = 18;
@@ -90,6 +90,7 @@
     Crash* findCrash(std::uint64_t crashId);
     Crash& addNewCrash(const CrashReport& report, loop::TimeMs now);
     bool mayHaveCommonCause(const Record& record, const Crash& crash) const;
+    bool hasEndedBefore(const Crash& crash) const;
     int weightOf(Fingerprint fingerprint, const Crash& crash, const CrashReport& report) const;
     void charge(Fingerprint fingerprint, const Crash& crash, const CrashReport& report, loop::TimeMs now);
     void withdraw(Fingerprint fingerprint, std::uint64_t crashId);
--- a/src/goldcrestcleat/fleet/SharedQuarantine.cpp
+++ b/src/goldcrestcleat/fleet/SharedQuarantine.cpp
@@ -94,17 +94,11 @@
     return true;
 }
 
+/// Earlier crashes are left out, since the peer has not received the answers that count against them.
 std::vector<PeerMessage> SharedQuarantine::currentState() const
 {
-    std::vector<PeerMessage> messages;
-    // Verdicts first: a crash that a ban explains counts for no other fingerprint.
     const auto verdicts = quarantine_.verdicts();
-    if (!verdicts.empty())
-        messages.emplace_back(Verdicts { verdicts });
-    const auto crashes = quarantine_.evidence().recentCrashes(loop_.now());
-    if (!crashes.empty())
-        messages.emplace_back(CrashReports { crashes });
-    return messages;
+    return verdicts.empty() ? std::vector<PeerMessage>() : std::vector<PeerMessage> { Verdicts { verdicts } };
 }
 
 void SharedQuarantine::load(const std::vector<Verdict>& saved)
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -253,6 +253,16 @@
     cr_assert(q.refuses(CONTENT) && q.refuses(DEADLY_PART));
 }
 
+Test(quarantine, a_part_whose_runs_had_not_begun_to_be_answered_is_banned_by_five_crashes)
+{
+    ClockedQuarantine q;
+    for (int i = 1; i <= 5; ++i) {
+        cr_assert_not(q.refuses(DEADLY_PART), "after %d crashes", i - 1);
+        q.crash({ CONTENT + 2 * static_cast<Fingerprint>(i), DEADLY_PART }, RunStage::Waiting);
+    }
+    cr_assert(q.refuses(DEADLY_PART));
+}
+
 Test(quarantine, ends_of_one_server_count_less_for_a_part_than_ends_of_several)
 {
     ClockedQuarantine q;
--- a/tests/unit/shared_quarantine_test.cpp
+++ b/tests/unit/shared_quarantine_test.cpp
@@ -183,6 +183,26 @@
     cr_assert_eq(newcomer.quarantine.find(PART)->revision, 1);
 }
 
+/// Guards against a ban of a sound part by a daemon that learns of crashes, but not of the answers between them.
+Test(shared_quarantine, a_new_daemon_does_not_count_crashes_whose_answers_it_has_not_received)
+{
+    Fleet fleet(2);
+    for (int i = 0; i < 5; ++i) {
+        fleet.runFor(CrashEvidence::COMMON_CAUSE_MS + 20);
+        fleet.crash(0);
+        for (int answer = 0; answer < 20; ++answer)
+            fleet.daemons[1]->shared.recordAnswer({ PART });
+        fleet.runFor(SharedQuarantine::MAX_ANSWER_DELAY_MS + 30);
+        fleet.deliver();
+    }
+    cr_assert_not(fleet.daemons[1]->refuses());
+    Daemon newcomer(fleet.loop, "vm9", fleet.saved, fleet.unixMs);
+    for (const auto& message : fleet.daemons[0]->shared.currentState())
+        newcomer.shared.onMessage(message);
+    fleet.runFor(Quarantine::HEARING_MS + 30);
+    cr_assert_not(newcomer.refuses());
+}
+
 Test(shared_quarantine, a_ban_reached_while_the_store_is_away_is_saved_when_it_is_back)
 {
     Fleet fleet(2);
