--- a/src/goldcrestcleat/admission/CrashEvidence.cpp
+++ b/src/goldcrestcleat/admission/CrashEvidence.cpp
@@ -58,6 +58,13 @@
     }
 }
 
+bool CrashEvidence::isRelevant(const CrashReport& report) const
+{
+    const auto known = std::find_if(
+        crashes_.begin(), crashes_.end(), [&](const Crash& crash) { return crash.report.crashId == report.crashId; });
+    return known == crashes_.end() || (!known->isExplained && report.stage <= known->report.stage);
+}
+
 std::vector<Fingerprint> CrashEvidence::suspectsOf(std::uint64_t crashId) const
 {
     const auto crash = std::find_if(
--- a/src/goldcrestcleat/admission/CrashEvidence.h
+++ b/src/goldcrestcleat/admission/CrashEvidence.h
@@ -60,6 +60,10 @@
     /// Complexity: O(suspects).
     void addCrash(const CrashReport& report, const std::function<bool(Fingerprint)>& isCulprit, loop::TimeMs now);
 
+    /// Returns true if a report can still change the suspects of its crash: no ban explains it, and no run at a more
+    /// suspicious stage is known.
+    bool isRelevant(const CrashReport& report) const;
+
     /// Returns the suspects of a crash that nothing explains yet.
     std::vector<Fingerprint> suspectsOf(std::uint64_t crashId) const;
 
--- a/src/goldcrestcleat/fleet/SharedQuarantine.cpp
+++ b/src/goldcrestcleat/fleet/SharedQuarantine.cpp
@@ -17,6 +17,8 @@
 
     constexpr loop::TimeMs CLAIM_INTERVAL_MS = 5'000; // between attempts to claim a probe while the store is away
 
+    constexpr loop::TimeMs MIN_REPORT_DELAY_MS = 20; // the longest delay ends well within a suspect's hearing
+
     constexpr std::size_t MAX_LOGGED_SUSPECTS = 16; // limits the length of a log line
 
 } // namespace
@@ -57,8 +59,8 @@
     log_.infoRateLimited("server-crashed",
         { { "crash", admission::toHex(report.crashId) }, { "stage", static_cast<int>(report.stage) },
             { "ageMs", report.ageMs }, { "suspects", suspects }, { "suspectCount", report.suspects.size() } });
-    hooks_.broadcast(CrashReports { { report } });
     onReport(report, true);
+    broadcastReport(report);
     for (const Fingerprint probe : std::set<Fingerprint>(ownProbes_)) {
         const bool isSuspect
             = std::find(report.suspects.begin(), report.suspects.end(), probe) != report.suspects.end();
@@ -159,6 +161,26 @@
     loop_.after(admission::Quarantine::HEARING_MS, review);
 }
 
+/// The less suspicious the runs of this daemon, the later it reports them, and not at all if those of other daemons
+/// have settled the crash meanwhile: all daemons have requests on a server, but few of them may have crashed it.
+void SharedQuarantine::broadcastReport(const CrashReport& report)
+{
+    if (report.stage == admission::RunStage::Begun) {
+        hooks_.broadcast(CrashReports { { report } });
+        return;
+    }
+    const bool isWaiting = report.stage == admission::RunStage::Waiting;
+    const auto delayMs = isWaiting
+        ? std::uniform_int_distribution<loop::TimeMs>(MIN_REPORT_DELAY_MS, MIN_REPORT_DELAY_MS * 2)(random_)
+        : std::uniform_int_distribution<loop::TimeMs>(MIN_REPORT_DELAY_MS * 2, MIN_REPORT_DELAY_MS * 4)(random_);
+    loop_.after(delayMs, [this, delayMs, delayed = report]() mutable {
+        if (!quarantine_.evidence().isRelevant(delayed))
+            return;
+        delayed.ageMs += delayMs;
+        hooks_.broadcast(CrashReports { { delayed } });
+    });
+}
+
 void SharedQuarantine::onBans(const std::vector<Verdict>& bans, bool isOwnReport)
 {
     for (const auto& ban : bans) {
--- a/src/goldcrestcleat/fleet/SharedQuarantine.h
+++ b/src/goldcrestcleat/fleet/SharedQuarantine.h
@@ -79,6 +79,7 @@
 
 private:
     void onReport(const admission::CrashReport& report, bool isOwnReport);
+    void broadcastReport(const admission::CrashReport& report);
     void onBans(const std::vector<admission::Verdict>& bans, bool isOwnReport);
     void applyOwnChange(const admission::Verdict& verdict);
     void applyReceived(const admission::Verdict& verdict, const char* source);
--- a/tests/unit/RequestFixture.h
+++ b/tests/unit/RequestFixture.h
@@ -123,11 +123,20 @@
     int retryBudget = 10;
     bool leavesPlacementPending = false; // the placement never completes
     bool areSuspectsUnavailable = false; // a suspected server is found to be unavailable
+    std::int64_t unixMs = 1'700'000'000'000; // time of the quarantine
+    admission::Quarantine quarantine { "vm1", [this] { return unixMs; } };
+
+private:
+    http::Client serverClient_ { loop, http::Limits() };
+    observe::Metrics metrics_;
+
+public:
+    forwarding::Environment environment { loop, serverClient_, metrics_, quarantine, {}, nullptr };
 
 private:
     void onRequest(const http::Exchange::Ptr& exchange)
     {
-        std::make_shared<forwarding::ForwardedRequest>(environment_, exchange, plan, hooksFor(exchange))->start();
+        std::make_shared<forwarding::ForwardedRequest>(environment, exchange, plan, hooksFor(exchange))->start();
     }
 
     forwarding::RequestHooks hooksFor(const http::Exchange::Ptr& exchange)
@@ -147,7 +156,7 @@
         hooks.suspect = [this](const Placement& placement) {
             result.suspected.push_back(placement.serverId);
             if (areSuspectsUnavailable)
-                for (const auto& request : std::set<forwarding::ForwardedRequest::Ptr>(environment_.openRequests))
+                for (const auto& request : std::set<forwarding::ForwardedRequest::Ptr>(environment.openRequests))
                     request->onServerDown();
         };
         hooks.tryTakeRetry = [this] { return retryBudget-- > 0; };
@@ -195,10 +204,6 @@
 
     http::Client callerClient_ { loop, http::Limits() };
     http::Call::Ptr callerCall_;
-    http::Client serverClient_ { loop, http::Limits() };
-    observe::Metrics metrics_;
-    admission::Quarantine quarantine_;
-    forwarding::Environment environment_ { loop, serverClient_, metrics_, quarantine_, {}, nullptr };
     std::vector<std::unique_ptr<http::Server>> servers_;
     std::vector<std::pair<std::string, std::string>> serverAddresses_; // names and addresses in the order of use
     std::vector<Poco::Net::ServerSocket> closedPorts_;
--- a/tests/unit/shared_quarantine_test.cpp
+++ b/tests/unit/shared_quarantine_test.cpp
@@ -139,6 +139,29 @@
     cr_assert_eq(fleet.saved.rows.at(PART).crashes, 3);
 }
 
+Test(shared_quarantine, a_daemon_keeps_reports_back_that_a_more_suspicious_run_elsewhere_has_settled)
+{
+    Fleet fleet(3);
+    const auto report = [&](std::size_t daemon, RunStage stage, Fingerprint suspect) {
+        CrashReport crash;
+        crash.crashId = crash.host = 1;
+        crash.stage = stage;
+        crash.suspects = { suspect };
+        fleet.daemons[daemon]->shared.reportCrash(crash);
+    };
+    report(0, RunStage::Running, 11);
+    report(1, RunStage::Waiting, 13);
+    cr_assert(fleet.daemons[0]->sent.empty() && fleet.daemons[1]->sent.empty());
+    report(2, RunStage::Begun, PART);
+    fleet.deliver();
+    fleet.runFor(Quarantine::HEARING_MS);
+    cr_assert(fleet.daemons[0]->sent.empty() && fleet.daemons[1]->sent.empty());
+    for (const auto& daemon : fleet.daemons) {
+        cr_assert(daemon->quarantine.isSuspect({ PART }, fleet.loop.now()));
+        cr_assert_not(daemon->quarantine.isSuspect({ 11, 13 }, fleet.loop.now()));
+    }
+}
+
 Test(shared_quarantine, answers_at_other_daemons_clear_a_part_that_was_present_at_crashes)
 {
     Fleet fleet(3);
