--- a/tests/unit/RoutedFixture.h
+++ b/tests/unit/RoutedFixture.h
@@ -97,11 +97,12 @@
     }
 
     /// Sends one request and runs the loop until it is answered; status 0 stands for a closed connection.
-    Answer call()
+    Answer call(const http::Fields& more = {})
     {
         Answer answer;
         http::Request request { "GET", "/x",
             { { "Host", "h" }, { "Request-Id", "r" + std::to_string(++calls_) }, { "Request-Deadline", "3000" } }, "" };
+        request.fields.insert(request.fields.end(), more.begin(), more.end());
         http::Call::Hooks hooks;
         hooks.onHead = [&](const Poco::Net::HTTPResponse& head) {
             answer.status = head.getStatus();
