Quarantine: hear the peers after crashes that are reported late

Found while reading the diff. A part that all requests share could be banned by a daemon without answers of its own, if several crashes became known late and together, since the time for peers to report answers ran from the crashes instead of their reports.

--- a/src/goldcrestcleat/admission/CrashEvidence.cpp
+++ b/src/goldcrestcleat/admission/CrashEvidence.cpp
@@ -180,7 +180,7 @@
     if (!record.charges.empty() && crash.at - record.lastCrashAt > RETENTION_MS)
         record = {};
     if (record.charges.empty())
-        record.firstCrashAt = crash.at;
+        record.knownSince = now;
     const bool isNewCause = !mayHaveCommonCause(record, crash);
     record.charges.push_back({ crash.report.crashId, isNewCause ? weightOf(fingerprint, crash, report) : 0 });
     record.score += record.charges.back().weight;
--- a/src/goldcrestcleat/admission/CrashEvidence.h
+++ b/src/goldcrestcleat/admission/CrashEvidence.h
@@ -52,12 +52,12 @@
         int answers = 0; ///< counted so far
         std::vector<Charge> charges;
         std::set<std::string> reporters; ///< daemons that reported the crashes
-        loop::TimeMs firstCrashAt = 0;
+        loop::TimeMs knownSince = 0; ///< when the first of the crashes became known
         loop::TimeMs lastCrashAt = 0;
     };
 
     /// Adds a report. A fingerprint for which `isCulprit` holds explains the crash, which then counts for no other.
-    /// Complexity: O(suspects).
+    /// Complexity: O(suspects^2), of which there are at most MAX_SUSPECTS.
     void addCrash(const CrashReport& report, const std::function<bool(Fingerprint)>& isCulprit, loop::TimeMs now);
 
     /// Returns true if a report can still change the suspects of its crash: no ban explains it, and no run at a more
--- a/src/goldcrestcleat/admission/Quarantine.cpp
+++ b/src/goldcrestcleat/admission/Quarantine.cpp
@@ -210,7 +210,7 @@
     const int threshold = hasProbesLeft ? CrashEvidence::BAN_SCORE : REPEATED_BAN_SCORE;
     const auto unreported = unreported_.find(fingerprint);
     const int answers = unreported == unreported_.end() ? 0 : unreported->second;
-    const bool isHeard = now - record.firstCrashAt >= HEARING_MS;
+    const bool isHeard = now - record.knownSince >= HEARING_MS;
     return isHeard && record.score - CrashEvidence::ANSWER_WEIGHT * answers >= threshold;
 }
 
--- a/src/goldcrestcleat/admission/Quarantine.h
+++ b/src/goldcrestcleat/admission/Quarantine.h
@@ -31,7 +31,8 @@
 public:
     static constexpr int MAX_PROBES = 3; ///< over the life of a fingerprint
     static constexpr loop::TimeMs PROBE_INTERVAL_MS = 60'000; ///< from a ban to its first probe, and between probes
-    static constexpr loop::TimeMs HEARING_MS = 120; ///< from the first crash on, in which the answers of peers arrive
+    static constexpr loop::TimeMs HEARING_MS
+        = 120; ///< from the report of the first crash on, in which the answers of peers arrive
     static constexpr std::size_t MAX_VERDICTS = 1'000; ///< lifted ones, then the oldest are forgotten first
 
     using UnixClock = std::function<std::int64_t()>; ///< returns the Unix time in ms
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -154,8 +154,8 @@
         finishBuffered();
     else if (attempt_.events.hasPartialEvent() || plan_.requiresEndMarker)
         onBroken(FailureKind::Broken, "stream ended before it was complete");
-    else if (attempt_.endsWithConnection
-        && !attempt_.hasBody) // a server that ends closes its connections in the same way
+    else if (attempt_.endsWithConnection && !attempt_.hasBody)
+        // A server that ends closes its connections in the same way.
         onBroken(FailureKind::Broken, "connection closed before the first event");
     else
         finishStream();
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -221,6 +221,22 @@
     cr_assert_not(q.refuses(FIRST_PART));
 }
 
+/// Guards against a ban before peers can report answers, when several crashes become known late and together.
+Test(quarantine, a_part_is_heard_after_crashes_that_are_reported_late)
+{
+    ClockedQuarantine q;
+    q.now = 10'000;
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        auto report = crashOf(crash, { FIRST_PART });
+        report.ageMs = 2'500 - 500 * static_cast<loop::TimeMs>(crash);
+        cr_assert(q.review(report).empty());
+    }
+    q.recordPeerAnswers({ { FIRST_PART, 10 } });
+    q.now += Quarantine::HEARING_MS;
+    cr_assert(q.reviewCrash(3, q.now).empty());
+    cr_assert_not(q.refuses(FIRST_PART));
+}
+
 Test(quarantine, answers_between_crashes_prevent_a_ban)
 {
     ClockedQuarantine q;
