--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -16,7 +16,7 @@
 constexpr std::int64_t EXIT_AFTER_MS = 4'000; // from the removal: drainMs and a little longer
 constexpr std::int64_t WORK_MS = 30;
 constexpr std::int64_t CONTACT_MS = 3'000; // of the site
-constexpr int CLIENTS = 4;
+constexpr int CLIENTS = 8;
 
 class Scenario {
 public:
@@ -88,7 +88,7 @@
                 const std::lock_guard<std::mutex> lock(mutex_);
                 outcomes_.push_back(outcome);
             }
-            sleepMs(60);
+            sleepMs(20 + serial_ * 7 % 40);
         }
     }
 
