--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -14,7 +14,7 @@
 constexpr std::int64_t CUT_MS = 4'000;
 constexpr std::int64_t REMOVED_AFTER_MS = 2'500; // from the beginning of the cut
 constexpr std::int64_t EXIT_AFTER_MS = 4'000; // from the removal: drainMs and a little longer
-constexpr std::int64_t WORK_MS = 30;
+constexpr std::int64_t WORK_MS = 120;
 constexpr std::int64_t CONTACT_MS = 3'000; // of the site
 constexpr int CLIENTS = 8;
 
