--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -16,7 +16,8 @@
 constexpr std::int64_t EXIT_AFTER_MS = 4'000; // from the removal: drainMs and a little longer
 constexpr std::int64_t WORK_MS = 120;
 constexpr std::int64_t CONTACT_MS = 3'000; // of the site
-constexpr int CLIENTS = 8;
+constexpr std::int64_t START_GAP_MS = 27; // keeps the clients out of step
+constexpr int CLIENTS = 6; // as many as the server has slots
 
 class Scenario {
 public:
@@ -44,8 +45,10 @@
             return rig_.finish(NOT_RUN, "no daemon watches the store");
         const int cut = watchers.front();
         std::vector<std::thread> clients;
-        for (int i = 0; i < CLIENTS; ++i)
+        for (int i = 0; i < CLIENTS; ++i) {
             clients.emplace_back([this, cut, i] { send((cut + 1 + i % (DAEMONS - 1)) % DAEMONS); });
+            sleepMs(START_GAP_MS);
+        }
         sleepMs(500);
         if (options_.hasTrouble)
             rig_.store().setCut(cut, true);
--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -170,6 +170,7 @@
     void stopConnections();
     void serve(const std::shared_ptr<Socket>& socket, int incarnation);
     void registerEntry();
+    void removeExpiredEntries();
 
     Record& record_;
     Store& store_;
@@ -183,6 +184,7 @@
     int seq_ = 0;
     bool isRegistered_ = false;
     std::list<std::weak_ptr<Socket>> sockets_;
+    std::list<std::pair<std::int64_t, std::string>> expiring_; // when the entries of crashed instances are removed
     std::atomic<int> listener_ { -1 };
     std::atomic<int> incarnation_ { 0 };
     std::atomic<bool> isUp_ { false };
--- a/review/rig/Server.cpp
+++ b/review/rig/Server.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr std::int64_t HEARTBEAT_MS = 1'200;
+    constexpr std::int64_t SILENT_HEARTBEATS = 3; // after which an entry is removed
     constexpr std::int64_t STEP_MS = 5;
     constexpr std::int64_t CRASH_DELAY_MS = 30; // from the head of an answer to the crash
     constexpr std::int64_t IDLE_S = 30; // advertised; this server never closes an idle connection sooner
@@ -67,6 +68,10 @@
     startAt_ = nowMs() + downMs;
     stopListening();
     stopConnections();
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        expiring_.emplace_back(nowMs() + SILENT_HEARTBEATS * HEARTBEAT_MS, id_);
+    }
     record_.line(name_ + " crashes");
 }
 
@@ -167,20 +172,19 @@
 void Server::run()
 {
     while (!isStopping_) {
+        removeExpiredEntries();
         const std::int64_t startAt = startAt_;
         if (startAt == 0 || nowMs() < startAt) {
             sleepMs(STEP_MS);
             continue;
         }
-        const std::string previous = id_;
-        if (!previous.empty())
-            store_.remove("servers", previous);
         start();
         listener_ = listenOn(address_);
         isUp_ = true;
         record_.line(name_ + " runs as " + id());
         std::int64_t nextBeatAt = 0;
         while (isUp_ && !isStopping_) {
+            removeExpiredEntries();
             if (nowMs() >= nextBeatAt) {
                 registerEntry();
                 nextBeatAt = nowMs() + HEARTBEAT_MS;
@@ -239,6 +243,16 @@
     }
 }
 
+/// Does what the store does with the entries of instances that have been silent for three heartbeats.
+void Server::removeExpiredEntries()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    while (!expiring_.empty() && nowMs() >= expiring_.front().first) {
+        store_.remove("servers", expiring_.front().second);
+        expiring_.pop_front();
+    }
+}
+
 void Server::registerEntry()
 {
     const std::lock_guard<std::mutex> lock(mutex_);
