Review case 4: take away one server of four, the site's largest share

DRAIN: the claim did not quote the limit of scale_in, and the deployment had no other server. It has three engines now, so that the booking server is a share of .25. Order of events as before: one daemon is cut from the store, the entry of the server is removed, the other daemons send on to it until it exits.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -10,11 +10,14 @@
 namespace {
 
 constexpr int DAEMONS = 3;
+constexpr int OTHER_SERVERS = 3; // of another service; one of four servers is taken away
 constexpr std::int64_t DRAIN_MS = 2'000; // of the site
 constexpr std::int64_t CUT_MS = 4'000;
 constexpr std::int64_t REMOVED_AFTER_MS = 2'500; // from the beginning of the cut
 constexpr std::int64_t EXIT_AFTER_MS = 4'000; // from the removal: drainMs and a little longer
 constexpr std::int64_t WORK_MS = 120;
+constexpr int OTHER_EVENTS = 20;
+constexpr std::int64_t OTHER_EVENT_MS = 30;
 constexpr std::int64_t CONTACT_MS = 3'000; // of the site
 constexpr std::int64_t START_GAP_MS = 27; // keeps the clients out of step
 constexpr int CLIENTS = 6; // as many as the server has slots
@@ -34,10 +37,13 @@
         settings.slots = 6;
         settings.isEngine = false;
         Server& server = rig_.addServer("booking-0", settings, [this](Server& s, Arrival& a) { return serve(s, a); });
+        for (int i = 0; i < OTHER_SERVERS; ++i)
+            rig_.addServer("engine-" + std::to_string(i), {},
+                [](Server& s, Arrival& a) { return s.stream(a, OTHER_EVENTS, [](int) { return OTHER_EVENT_MS; }); });
         auto route = makeRoute("/confirm/", "non_idempotent", "booking");
         route["goalMs"] = 150;
         route["timeoutMs"] = 1'000;
-        if (!rig_.start(nlohmann::json::array({ route })))
+        if (!rig_.start(nlohmann::json::array({ route, makeRoute("/chat/", "streaming", "assistant") })))
             return rig_.finish(NOT_RUN, "the daemons did not start");
         sleepMs(CONTACT_MS + 500);
         const auto watchers = rig_.store().watchers();
