--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -65,7 +65,8 @@
         , serversWatcher_(loop_, store_, adapter_.serversTable,
               watcherHooks(adapter_.serversTable, [this](const Rows& rows) { onServerRows(rows); }))
         , serverRegistryUpdater_(loop_, log_, serverRegistry_,
-              { adapter_.parseServer, [this] { return removalPolicy(); },
+              { adapter_.parseServer, [this] { return membership_.mayHaveExpired(); },
+                  [this] { return membership_.storeUnansweredMs(); },
                   [this](routing::NodeKey server) { onServerEnded(server); } })
         , reachabilityChecker_(loop_, httpClient_, serverRegistry_, log_)
         , membership_(loop_, settings_, log_, store_, serverRegistry_, quarantine_,
@@ -138,7 +139,6 @@
         reachabilityChecker_.onUnreachable
             = [this](routing::NodeKey server, Source source) { onServerUnavailable(server, source); };
         reachabilityChecker_.onEnded = [this](routing::NodeKey server) { onServerEnded(server); };
-        serverRegistry_.isStoreUnavailable = [this] { return isStoreUnavailable(); };
         forwardingEnvironment_.onFinished = [this](const forwarding::RequestSummary& summary) {
             secondSummary_.add(summary.kind, summary.code, summary.timeToHeadMs);
         };
@@ -262,14 +262,6 @@
             request->onBan(fingerprint);
     }
 
-    upstreams::RemovalPolicy removalPolicy() const
-    {
-        const bool mayHaveExpired = isStoreUnavailable() || loop_.now() < serversWatcher_.expiryGraceUntil();
-        return { mayHaveExpired, settings_.bounds.upstreamLeavesMs };
-    }
-
-    bool isStoreUnavailable() const { return !serversWatcher_.isAnswering() || membership_.hasPeerWithoutStore(); }
-
     void onStoreAvailabilityChanged(const std::string& table, bool isAnswering, const std::string& reason)
     {
         log_.info(isAnswering ? "store-regained" : "store-lost",
--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -431,9 +431,10 @@
     else if (loop_.now() - lastBusyAt_ > periodMs) // all peers have received the empty loads
         periodMs = std::max(periodMs, HEARTBEAT_MS);
     const bool mayLead = loads.storeAnswers && !loads.isWatchOverdue;
-    if (mayLead != reportedMayLead_) {
+    if (mayLead != reportedMayLead_ || loads.isWatchAnswered != reportedAnswers_) {
         reportedMayLead_ = mayLead;
-        links_.broadcast(loads); // changes which daemons lead, so all peers need it now
+        reportedAnswers_ = loads.isWatchAnswered;
+        links_.broadcast(loads); // changes which daemons lead or whether the store is available
         return;
     }
     sendCredit_ += static_cast<double>(peers.size()) * static_cast<double>(TICK_MS) / static_cast<double>(periodMs);
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -71,8 +71,11 @@
     /// Returns the addresses for callers of all daemons that accept requests, including this one if it does.
     std::vector<std::string> entryAddresses() const;
 
-    /// True when a peer that is up reports that the store does not answer it.
-    bool hasPeerWithoutStore() const { return tables_.hasPeerWithoutStore(); }
+    /// Returns whether an entry that is missing may have expired in an outage of the store, and may still return.
+    bool mayHaveExpired() { return tables_.mayHaveExpired(); }
+
+    /// Returns how long the store has not been known to answer any daemon.
+    loop::TimeMs storeUnansweredMs() const { return tables_.unansweredMs(); }
 
     /// Returns the interval between two load messages to a peer.
     static loop::TimeMs loadsPeriodMs(std::size_t peers);
@@ -136,6 +139,7 @@
     VerdictRows verdictRows_;
     SharedQuarantine sharedQuarantine_;
     bool reportedMayLead_ = true;
+    bool reportedAnswers_ = false; // that the store answers this daemon's watch
     std::size_t nextRecipient_ = 0; // round robin over the peers
     double sendCredit_ = 0; // load messages that may be sent now; fractions accumulate
     loop::TimeMs lastBusyAt_ = 0; // when requests were last open
--- a/src/goldcrestcleat/fleet/PeerMessages.cpp
+++ b/src/goldcrestcleat/fleet/PeerMessages.cpp
@@ -94,7 +94,7 @@
 
     json toArray(const ServerLoads& m)
     {
-        json array = { m.storeAnswers, m.isWatchOverdue, m.newestRows };
+        json array = { m.storeAnswers, m.isWatchOverdue, m.isWatchAnswered, m.newestRows };
         for (const auto& [server, open] : m.open) {
             array.push_back(server);
             array.push_back(open);
@@ -147,7 +147,7 @@
         json rows = json::array();
         for (const auto& row : m.changes.rows)
             rows.push_back({ row.key, row.value, row.version, row.isRemoved });
-        json array = { m.table, m.afterVersion, m.expiryGraceMs, m.changes.isComplete, m.changes.version };
+        json array = { m.table, m.afterVersion, m.changes.isComplete, m.changes.version };
         const std::vector<std::uint8_t> encoded = json::to_cbor(rows);
         if (encoded.size() < MIN_COMPRESSED_BYTES) {
             array.push_back(rows);
@@ -283,9 +283,10 @@
         ServerLoads m;
         m.storeAnswers = read<bool>(a, 1);
         m.isWatchOverdue = read<bool>(a, 2);
-        for (const json& version : a.at(3))
+        m.isWatchAnswered = read<bool>(a, 3);
+        for (const json& version : a.at(4))
             m.newestRows.push_back(version.get<std::uint64_t>());
-        for (std::size_t i = 4; i + 1 < a.size(); i += 2)
+        for (std::size_t i = 5; i + 1 < a.size(); i += 2)
             m.open.emplace_back(read<std::uint32_t>(a, i), read<int>(a, i + 1));
         return m;
     }
@@ -305,10 +306,9 @@
         MirrorRows m;
         m.table = a.at(1);
         m.afterVersion = read<std::uint64_t>(a, 2);
-        m.expiryGraceMs = read<std::int64_t>(a, 3);
-        m.changes.isComplete = read<bool>(a, 4);
-        m.changes.version = read<std::uint64_t>(a, 5);
-        for (const json& row : decodeRows(a.at(6)))
+        m.changes.isComplete = read<bool>(a, 3);
+        m.changes.version = read<std::uint64_t>(a, 4);
+        for (const json& row : decodeRows(a.at(5)))
             m.changes.rows.push_back({ row.at(0), row.at(1), read<std::uint64_t>(row, 2), read<bool>(row, 3) });
         return m;
     }
--- a/src/goldcrestcleat/fleet/PeerMessages.h
+++ b/src/goldcrestcleat/fleet/PeerMessages.h
@@ -118,6 +118,7 @@
     std::vector<std::pair<routing::NodeKey, int>> open;
     bool storeAnswers = true; ///< the store answered the sender's last calls
     bool isWatchOverdue = false; ///< the sender leads, but its watch is overdue, so that another daemon must lead
+    bool isWatchAnswered = false; ///< the sender leads, and the store answers its watch in time
     std::vector<std::uint64_t> newestRows {}; ///< newest row version of each of the sender's mirrors, by table name
 };
 
@@ -131,7 +132,6 @@
 struct MirrorRows {
     std::string table;
     std::uint64_t afterVersion = 0; ///< the rows include all changes since this version
-    loop::TimeMs expiryGraceMs = 0; ///< removed rows may reappear for this long, as they may have expired in an outage
     store::RowChanges changes;
 };
 
--- a/src/goldcrestcleat/fleet/SharedTables.cpp
+++ b/src/goldcrestcleat/fleet/SharedTables.cpp
@@ -19,6 +19,7 @@
     , self_(self)
     , startedAt_(loop.now())
     , hooks_(std::move(hooks))
+    , outages_(startedAt_)
 {
 }
 
@@ -27,6 +28,8 @@
     tables_[watcher.table()].watcher = &watcher;
     watcher.onStoreChanges = [this, table = watcher.table()](std::uint64_t afterVersion,
                                  const store::RowChanges& changes) { forwardChanges(table, afterVersion, changes); };
+    watcher.onAnswer = [this] { outages_.observe(loop_.now(), true); };
+    watcher.onNoAnswer = [this](loop::TimeMs calledAt) { outages_.observeFailure(calledAt); };
     updateLeading();
 }
 
@@ -41,9 +44,11 @@
 {
     loads.storeAnswers = true;
     loads.isWatchOverdue = false;
+    loads.isWatchAnswered = false;
     for (const auto& [table, shared] : tables_) {
         loads.storeAnswers = loads.storeAnswers && shared.watcher->isAnswering();
         loads.isWatchOverdue = loads.isWatchOverdue || shared.watcher->isOverdue();
+        loads.isWatchAnswered = loads.isWatchAnswered || shared.watcher->isWatchAnswered();
         loads.newestRows.push_back(shared.watcher->mirror().newestRow());
     }
 }
@@ -52,7 +57,8 @@
 {
     StoreStatus& status = storeStatus_[peer];
     const bool couldLead = status.mayLead();
-    status = { loads.storeAnswers, loads.isWatchOverdue };
+    status = { loads.storeAnswers, loads.isWatchOverdue, loads.isWatchAnswered };
+    observeStore();
     if (status.mayLead() != couldLead)
         updateLeading();
     std::size_t index = 0;
@@ -71,6 +77,7 @@
 /// Of the daemons that reach the store in time, those with the smallest keys lead.
 void SharedTables::updateLeading()
 {
+    observeStore();
     const bool isSettling = loop_.now() - startedAt_ < SETTLING_MS;
     isLeading_ = (knowsPeers_ || !isSettling) && countLeadersBefore() < LEADER_COUNT;
     for (auto& [table, shared] : tables_)
@@ -96,9 +103,8 @@
     const auto& watcher = *shared->second.watcher;
     if (watcher.mirror().version() <= request.afterVersion)
         return;
-    hooks_.send(peer,
-        MirrorRows { request.table, request.afterVersion, expiryGraceMs(watcher),
-            watcher.mirror().changesAfter(request.afterVersion) });
+    hooks_.send(
+        peer, MirrorRows { request.table, request.afterVersion, watcher.mirror().changesAfter(request.afterVersion) });
 }
 
 void SharedTables::onRows(NodeKey peer, const MirrorRows& rows)
@@ -108,15 +114,15 @@
         return;
     const std::uint64_t known = shared->second.watcher->mirror().version();
     if (rows.changes.isComplete || known >= rows.afterVersion)
-        shared->second.watcher->applyFromPeer(rows.changes, rows.expiryGraceMs);
+        shared->second.watcher->applyFromPeer(rows.changes);
     else
         hooks_.send(peer, MirrorRequest { rows.table, known });
 }
 
-bool SharedTables::hasPeerWithoutStore() const
+bool SharedTables::mayHaveExpired()
 {
-    return std::any_of(
-        storeStatus_.begin(), storeStatus_.end(), [](const auto& entry) { return !entry.second.storeAnswers; });
+    observeStore();
+    return outages_.mayHaveExpired(loop_.now());
 }
 
 // ---- private ----
@@ -132,6 +138,16 @@
     return count;
 }
 
+/// Records whether the store answers this daemon, or a peer whose link is up according to its last report.
+void SharedTables::observeStore()
+{
+    const bool answersSelf = std::any_of(
+        tables_.begin(), tables_.end(), [](const auto& entry) { return entry.second.watcher->isWatchAnswered(); });
+    const bool answersPeer = std::any_of(
+        storeStatus_.begin(), storeStatus_.end(), [](const auto& entry) { return entry.second.isWatchAnswered; });
+    outages_.observe(loop_.now(), answersSelf || answersPeer);
+}
+
 void SharedTables::forwardChanges(
     const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes)
 {
@@ -144,7 +160,7 @@
         hooks_.sendLoads(); // the peers see the newer versions and request them
         return;
     }
-    hooks_.broadcast(MirrorRows { table, afterVersion, expiryGraceMs(*tables_.at(table).watcher), changes });
+    hooks_.broadcast(MirrorRows { table, afterVersion, changes });
 }
 
 /// Catches up with a peer that has newer rows, if they do not arrive as a broadcast: first from that peer, then also
@@ -171,9 +187,4 @@
         shared.watcher->checkNow();
 }
 
-loop::TimeMs SharedTables::expiryGraceMs(const store::TableWatcher& watcher) const
-{
-    return std::max<loop::TimeMs>(0, watcher.expiryGraceUntil() - loop_.now());
-}
-
 } // namespace goldcrestcleat::fleet
--- a/src/goldcrestcleat/fleet/SharedTables.h
+++ b/src/goldcrestcleat/fleet/SharedTables.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "goldcrestcleat/fleet/PeerMessages.h"
+#include "goldcrestcleat/store/OutageTracker.h"
 #include "goldcrestcleat/store/TableWatcher.h"
 
 #include <functional>
@@ -62,8 +63,13 @@
 
     bool isLeading() const { return isLeading_; }
 
-    /// True if a peer whose link is up reports that the store does not answer it.
-    bool hasPeerWithoutStore() const;
+    /// Returns whether a row that is missing may have expired in an outage of the store, and may still return.
+    ///
+    /// A daemon that the store does not answer learns from the peers whether it answers them.
+    bool mayHaveExpired();
+
+    /// Returns how long the store has not been known to answer any daemon.
+    loop::TimeMs unansweredMs() const { return outages_.unansweredMs(loop_.now()); }
 
 private:
     struct SharedTable {
@@ -77,20 +83,22 @@
     struct StoreStatus {
         bool storeAnswers = false;
         bool isWatchOverdue = false;
+        bool isWatchAnswered = false;
 
         /// An overdue watch may have been disconnected without an error; another daemon leads until it is answered.
         bool mayLead() const { return storeAnswers && !isWatchOverdue; }
     };
 
     std::size_t countLeadersBefore() const;
+    void observeStore();
     void forwardChanges(const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes);
     void catchUp(routing::NodeKey peer, SharedTable& shared, std::uint64_t newestRow);
-    loop::TimeMs expiryGraceMs(const store::TableWatcher& watcher) const;
 
     const loop::EventLoop& loop_;
     const routing::NodeKey self_;
     const loop::TimeMs startedAt_;
     Hooks hooks_;
+    store::OutageTracker outages_;
     std::map<std::string, SharedTable> tables_; // by table
     std::map<routing::NodeKey, StoreStatus> storeStatus_; // by peer
     std::vector<routing::NodeKey> listedPeers_;
--- a/src/goldcrestcleat/loop/EventLoop.cpp
+++ b/src/goldcrestcleat/loop/EventLoop.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 #include <vector>
 
 namespace goldcrestcleat::loop {
@@ -21,7 +22,11 @@
 
 } // namespace
 
-EventLoop::EventLoop() { refreshNow(); }
+EventLoop::EventLoop(Clock clock)
+    : clock_(clock ? std::move(clock) : steadyNow)
+{
+    refreshNow();
+}
 
 EventLoop::TimerId EventLoop::after(TimeMs delayMs, Task task)
 {
@@ -98,7 +103,7 @@
     runDueTimers();
     if (onIteration)
         onIteration();
-    const TimeMs durationMs = steadyNow() - now_;
+    const TimeMs durationMs = clock_() - now_;
     if (durationMs > SLOW_ITERATION_MS && onSlowIteration)
         onSlowIteration(durationMs);
     if (onIterationEnd)
@@ -109,13 +114,13 @@
 {
     if (timers_.empty())
         return MAX_POLL_MS;
-    return std::max<TimeMs>(timers_.begin()->first - steadyNow(), 0);
+    return std::max<TimeMs>(timers_.begin()->first - clock_(), 0);
 }
 
 void EventLoop::pollSockets(TimeMs timeoutMs)
 {
     const auto ready = pollSet_.poll(Poco::Timespan(timeoutMs * 1000));
-    const TimeMs lateMs = steadyNow() - now_ - timeoutMs;
+    const TimeMs lateMs = clock_() - now_ - timeoutMs;
     lateMs_ = std::max<TimeMs>(lateMs, 0);
     refreshNow();
     // Called before any handler, since input that is buffered in the sockets may be as old as the delay is long.
@@ -141,6 +146,6 @@
     }
 }
 
-void EventLoop::refreshNow() { now_ = steadyNow(); }
+void EventLoop::refreshNow() { now_ = clock_(); }
 
 } // namespace goldcrestcleat::loop
--- a/src/goldcrestcleat/loop/EventLoop.h
+++ b/src/goldcrestcleat/loop/EventLoop.h
@@ -22,7 +22,11 @@
     using SocketHandler = std::function<void(int readyModes)>;
     using TimerId = std::uint64_t; // 0 is never a valid id
 
-    EventLoop();
+    /// Returns the current time in ms.
+    using Clock = std::function<TimeMs()>;
+
+    /// Creates a loop on the steady clock, or on the given one.
+    explicit EventLoop(Clock clock = nullptr);
 
     EventLoop(const EventLoop&) = delete;
     EventLoop& operator=(const EventLoop&) = delete;
@@ -86,6 +90,7 @@
     void runDueTimers();
     void refreshNow();
 
+    const Clock clock_;
     Poco::Net::PollSet pollSet_;
     std::unordered_map<int, Watch> watches_;
     std::multimap<TimeMs, std::pair<TimerId, Task>> timers_;
--- a/src/goldcrestcleat/settings/FrontSettings.cpp
+++ b/src/goldcrestcleat/settings/FrontSettings.cpp
@@ -24,14 +24,10 @@
         return std::llround(seconds * MS_PER_SECOND);
     }
 
-    loop::TimeMs readMs(ObjectReader& reader, const std::string& key, loop::TimeMs fallbackMs)
-    {
-        return std::llround(reader.number(key, 0, MAX_SECONDS * MS_PER_SECOND, static_cast<double>(fallbackMs)));
-    }
-
     void readBounds(ObjectReader& reader, Bounds& b)
     {
-        b.upstreamLeavesMs = readMs(reader, "upstreamLeavesMs", b.upstreamLeavesMs);
+        // Without effect, since servers that leave get no more requests at once; existing files contain it.
+        reader.number("upstreamLeavesMs", 0, MAX_SECONDS * MS_PER_SECOND, 0);
         b.stopGraceMs = readSeconds(reader, "stopGraceS", b.stopGraceMs);
         b.retryRatio = reader.number("retryRatio", 0, 100, b.retryRatio);
         b.retryExtra = reader.number("retryExtra", 0, 1e9, b.retryExtra);
--- a/src/goldcrestcleat/settings/FrontSettings.h
+++ b/src/goldcrestcleat/settings/FrontSettings.h
@@ -10,7 +10,6 @@
 
 /// Guarantees of the deployment that daemons must observe, in ms unless stated otherwise.
 struct Bounds {
-    loop::TimeMs upstreamLeavesMs = 2'000; ///< an upstream gets no request so long after its leaving was acknowledged
     loop::TimeMs stopGraceMs = 8'000; ///< from the stop signal until the process is killed
     double retryRatio = 0.2; ///< retries allowed per request to a service, for all daemons together
     double retryExtra = 10; ///< further retries allowed per window
--- a/src/goldcrestcleat/store/TableWatcher.cpp
+++ b/src/goldcrestcleat/store/TableWatcher.cpp
@@ -20,9 +20,9 @@
     constexpr loop::TimeMs BATCH_MS = 200;
 
     // Pause after the first failed call, doubled up to the longest one. Expired entries reappear within 2 s of the
-    // store's recovery, so the pause must be well below that.
+    // store's recovery, and the pauses are the uncertainty about its time.
     constexpr loop::TimeMs FIRST_PAUSE_MS = 100;
-    constexpr loop::TimeMs LONGEST_PAUSE_MS = 800;
+    constexpr loop::TimeMs LONGEST_PAUSE_MS = 400;
 
 } // namespace
 
@@ -42,19 +42,20 @@
     watchMs_ = watchMs;
     const bool beginsToLead = isLeading && !isLeading_;
     isLeading_ = isLeading;
-    if (beginsToLead)
+    if (beginsToLead) {
         lastAnswerAt_ = loop_.now();
+        isConfirming_ = true;
+    }
     if (beginsToLead && timer_ != 0 && isAnswering_)
         scheduleNextCall(0);
 }
 
-bool TableWatcher::isOverdue() const { return isLeading_ && loop_.now() - lastAnswerAt_ > watchMs_ + OVERDUE_MS; }
+bool TableWatcher::isOverdue() const { return isLeading_ && loop_.now() - lastAnswerAt_ > openWatchMs() + OVERDUE_MS; }
 
-void TableWatcher::applyFromPeer(const RowChanges& changes, loop::TimeMs expiryGraceMs)
+void TableWatcher::applyFromPeer(const RowChanges& changes)
 {
     if (changes.version <= mirror_.version())
         return;
-    expiryGraceUntil_ = std::max(expiryGraceUntil_, loop_.now() + expiryGraceMs);
     const auto changed = changes.isComplete ? mirror_.replace(changes.rows, changes.version)
                                             : mirror_.apply(changes.rows, changes.version);
     if (!changed.empty())
@@ -69,6 +70,10 @@
 
 // ---- private ----
 
+/// Returns how long a watch stays open. The first one of a leader is answered at once and shows whether the store is
+/// available.
+loop::TimeMs TableWatcher::openWatchMs() const { return isLeading_ && !isConfirming_ ? watchMs_ : 0; }
+
 void TableWatcher::scheduleNextCall(loop::TimeMs pauseMs)
 {
     loop_.cancel(timer_);
@@ -89,6 +94,7 @@
 
 void TableWatcher::readTable(const std::string& fromKey)
 {
+    calledAt_ = loop_.now();
     store_.read(table_, fromKey, [this](const RowSet& answer) {
         if (answer.outcome != ReadOutcome::Answered) {
             onFailed(answer);
@@ -115,7 +121,8 @@
 
 void TableWatcher::watch()
 {
-    store_.watch(table_, mirror_.version(), isLeading_ ? watchMs_ : 0, [this](const RowSet& answer) {
+    calledAt_ = loop_.now();
+    store_.watch(table_, mirror_.version(), openWatchMs(), [this](const RowSet& answer) {
         if (answer.outcome == ReadOutcome::HistoryCompacted) {
             needsFullRead_ = true;
             startNextCall();
@@ -137,6 +144,8 @@
 {
     const int doublings = std::min(failures_, 3);
     ++failures_;
+    if (onNoAnswer)
+        onNoAnswer(calledAt_);
     if (isAnswering_) {
         isAnswering_ = false;
         hooks_.onAvailability(false, answer.reason);
@@ -148,10 +157,12 @@
 {
     failures_ = 0;
     lastAnswerAt_ = loop_.now();
+    isConfirming_ = false;
+    if (onAnswer)
+        onAnswer();
     if (isAnswering_)
         return;
     isAnswering_ = true;
-    expiryGraceUntil_ = loop_.now() + EXPIRY_GRACE_MS;
     hooks_.onAvailability(true, "answered");
 }
 
--- a/src/goldcrestcleat/store/TableWatcher.h
+++ b/src/goldcrestcleat/store/TableWatcher.h
@@ -28,8 +28,8 @@
     /// Sets whether this watcher leads, and how long its watches stay open.
     void setLeading(bool isLeading, loop::TimeMs watchMs);
 
-    /// Applies changes from a peer. For `expiryGraceMs`, rows that the peer reports as removed may reappear.
-    void applyFromPeer(const RowChanges& changes, loop::TimeMs expiryGraceMs);
+    /// Applies changes from a peer.
+    void applyFromPeer(const RowChanges& changes);
 
     /// Reads changes immediately, as when a peer has newer ones, unless a call is open or the last one failed.
     void checkNow();
@@ -40,22 +40,26 @@
     /// True if this watcher leads and its watch is overdue: the store may be unreachable long before the call fails.
     bool isOverdue() const;
 
+    /// True if this watcher leads and the store has answered it in time since it began to.
+    bool isWatchAnswered() const { return isLeading_ && isAnswering_ && !isConfirming_ && !isOverdue(); }
+
     const TableMirror& mirror() const { return mirror_; }
     const std::string& table() const { return table_; }
 
     /// True if the last call was answered and the complete table was read.
     bool isCurrent() const { return isAnswering_ && mirror_.isLoaded() && !needsFullRead_; }
 
-    /// Until this time, removed rows may reappear: they may have expired only because the store was unavailable.
-    loop::TimeMs expiryGraceUntil() const { return expiryGraceUntil_; }
-
     /// Called with changes that were read from the store, and the version that they follow.
     std::function<void(std::uint64_t afterVersion, const RowChanges&)> onStoreChanges;
 
-    /// Rows that expired in a store outage are present again this long after its end, as the platform documents.
-    static constexpr loop::TimeMs EXPIRY_GRACE_MS = 2'000;
+    /// Called when the store has answered, before the changes that the answer contains are applied; may be unset.
+    std::function<void()> onAnswer;
+
+    /// Called when the store did not answer a call, or refused it, with the time of the call; may be unset.
+    std::function<void(loop::TimeMs calledAt)> onNoAnswer;
 
 private:
+    loop::TimeMs openWatchMs() const;
     void startNextCall();
     void readTable(const std::string& fromKey);
     void watch();
@@ -74,11 +78,12 @@
     bool needsFullRead_ = true;
     bool isAnswering_ = true;
     bool isLeading_ = true;
+    bool isConfirming_ = false; // began to lead, and the store has not answered it since
     loop::TimeMs watchMs_; // how long a watch stays open
+    loop::TimeMs calledAt_ = 0; // when the last call was made
     loop::TimeMs lastAnswerAt_ = 0; // when the store last answered, or when this watcher began to lead
     loop::EventLoop::TimerId timer_ = 0; // of the next call; 0 while a call is open
     int failures_ = 0; // consecutive
-    loop::TimeMs expiryGraceUntil_ = 0;
 };
 
 } // namespace goldcrestcleat::store
--- a/src/goldcrestcleat/upstreams/ServerRegistry.cpp
+++ b/src/goldcrestcleat/upstreams/ServerRegistry.cpp
@@ -22,10 +22,6 @@
     constexpr double MIN_OUTCOME_WEIGHT = 4;
     constexpr loop::TimeMs AVOID_MS = 1'500;
 
-    // Maximum time between a change in the store and the arrival of a request that was placed just before the change
-    // was received: changes are grouped for 200 ms and passed on, and a new connection may take 400 ms.
-    constexpr loop::TimeMs IN_FLIGHT_MS = 800;
-
 } // namespace
 
 bool ServerRegistry::put(const ServerEntry& entry, loop::TimeMs now)
@@ -47,6 +43,7 @@
     server.key = key;
     server.entry = entry;
     server.removedAt.reset();
+    server.mayHaveExpired = false;
     return isKnown && isNewInstance;
 }
 
@@ -83,50 +80,42 @@
 
 void ServerRegistry::remove(const std::string& id) { servers_.erase(routing::nodeKey(id)); }
 
-void ServerRegistry::markRemoved(const std::vector<std::string>& ids, const RemovalPolicy& policy, loop::TimeMs now)
+void ServerRegistry::markRemoved(const std::vector<std::string>& ids, bool mayHaveExpired, loop::TimeMs now)
 {
-    purgeRemoved(now);
-    std::map<std::string, std::size_t> listedBefore;
-    std::map<std::string, std::vector<Server*>> removed;
+    purgeRemoved();
     for (const auto& id : ids) {
         const auto found = servers_.find(routing::nodeKey(id));
         if (found == servers_.end() || found->second.removedAt)
             continue;
-        const std::string& service = found->second.entry.service;
-        if (listedBefore.count(service) == 0)
-            listedBefore[service] = countListed(service);
-        found->second.removedAt = now;
-        removed[service].push_back(&found->second);
+        Server& server = found->second;
+        server.removedAt = now;
+        // The entry of a server that announced that it leaves was removed, it did not expire.
+        server.mayHaveExpired = mayHaveExpired && !server.isLeaving();
     }
-    for (const auto& [service, servers] : removed) {
-        const bool isHalfOfService = servers.size() > 1 && 2 * servers.size() >= listedBefore[service];
-        for (auto* server : servers) {
-            // The entry of a server that announced that it leaves was removed, it did not expire.
-            server->mayHaveExpired = (policy.mayHaveExpired || isHalfOfService) && !server->isLeaving();
-            server->usableUntil
-                = server->mayHaveExpired ? now + std::max<loop::TimeMs>(0, policy.leavingBoundMs - IN_FLIGHT_MS) : now;
-        }
+}
+
+std::vector<std::string> ServerRegistry::giveUpExpired()
+{
+    std::vector<std::string> ids;
+    for (auto& [key, server] : servers_) {
+        if (server.mayHaveExpired)
+            ids.push_back(server.entry.id);
+        server.mayHaveExpired = false;
     }
+    return ids;
 }
 
 std::vector<const Server*> ServerRegistry::usable(const std::string& service, loop::TimeMs now) const
 {
     std::vector<const Server*> preferred;
     std::vector<const Server*> avoided;
-    std::vector<const Server*> lastResort;
-    if (isStoreUnavailable && isStoreUnavailable())
-        storeLastUnavailableAt_ = now;
     for (const auto& [key, server] : servers_) {
-        if (server.entry.service != service || server.isLeaving() || server.backOffUntil > now)
+        const bool isGone = server.removedAt && !server.mayHaveExpired;
+        if (server.entry.service != service || isGone || server.isLeaving() || server.backOffUntil > now)
             continue;
-        if (!server.removedAt || now < server.usableUntil)
-            (server.isAvoided(now) ? avoided : preferred).push_back(&server);
-        else if (isLastResort(server, now))
-            lastResort.push_back(&server);
+        (server.isAvoided(now) ? avoided : preferred).push_back(&server);
     }
-    if (!preferred.empty())
-        return preferred;
-    return avoided.empty() ? lastResort : avoided;
+    return preferred.empty() ? avoided : preferred;
 }
 
 const Server* ServerRegistry::find(NodeKey key) const
@@ -226,26 +215,12 @@
     return std::find(leavingInstances_.begin(), leavingInstances_.end(), instance) != leavingInstances_.end();
 }
 
-bool ServerRegistry::isLastResort(const Server& server, loop::TimeMs now) const
-{
-    const loop::TimeMs since = std::max(*server.removedAt, storeLastUnavailableAt_);
-    return server.mayHaveExpired && now - since < EXPIRED_RETENTION_MS;
-}
-
-std::size_t ServerRegistry::countListed(const std::string& service) const
-{
-    return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [&](const auto& item) {
-        const Server& server = item.second;
-        return server.entry.service == service && !server.isLeaving() && !server.removedAt;
-    }));
-}
-
-void ServerRegistry::purgeRemoved(loop::TimeMs now)
+void ServerRegistry::purgeRemoved()
 {
     for (auto it = servers_.begin(); it != servers_.end();) {
         const Server& server = it->second;
-        const bool isUnusable = server.removedAt && now >= server.usableUntil && !isLastResort(server, now);
-        it = isUnusable && server.localOpen == 0 ? servers_.erase(it) : std::next(it);
+        const bool isGone = server.removedAt && !server.mayHaveExpired;
+        it = isGone && server.localOpen == 0 ? servers_.erase(it) : std::next(it);
     }
 }
 
--- a/src/goldcrestcleat/upstreams/ServerRegistry.h
+++ b/src/goldcrestcleat/upstreams/ServerRegistry.h
@@ -28,8 +28,7 @@
     loop::TimeMs avoidUntil = 0; ///< used only as a fallback until this time
     loop::TimeMs nextCheckAt = 0; ///< time of the next reachability check of an unreachable server
     std::optional<loop::TimeMs> removedAt; ///< when its entry was removed from the store
-    loop::TimeMs usableUntil = 0; ///< a removed server is treated like the others until this time
-    bool mayHaveExpired = false; ///< its entry may have expired although the server still runs
+    bool mayHaveExpired = false; ///< its removed entry may have expired, so that the server stays in use
     bool hasAnnouncedLeaving = false; ///< stated in a response that it leaves
     loop::TimeMs backOffUntil = 0; ///< rejects requests of this daemon until this time
 
@@ -38,22 +37,12 @@
     bool isAvoided(loop::TimeMs now) const { return avoidUntil > now || connectFailures > 0; }
 };
 
-/// Conditions under which removed entries are handled.
-struct RemovalPolicy {
-    bool mayHaveExpired = false; ///< the store was unavailable recently, so entries of running servers may have expired
-    loop::TimeMs leavingBoundMs = 0; ///< time after which a server that left must get no more requests
-};
-
 /// All servers of all services. Decides which of them may get new requests.
 class ServerRegistry {
 public:
     /// Time after which an outcome counts half; long enough to cover some tens of requests at a few per second.
     static constexpr loop::TimeMs HEALTH_HALF_LIFE_MS = 2'000;
 
-    /// According to the platform's documentation, expired entries are restored within two seconds after an outage of
-    /// the store. The rest is for learning of them.
-    static constexpr loop::TimeMs EXPIRED_RETENTION_MS = 2'500;
-
     /// Adds or updates an entry. Returns true if a known server has been restarted.
     bool put(const ServerEntry& entry, loop::TimeMs now);
 
@@ -80,13 +69,12 @@
 
     /// Handles entries that were removed from the store in one change.
     ///
-    /// Entries also expire while the store is unavailable. If that is possible, or if half of a service is removed in
-    /// one change, the servers stay in use for less than the bound on servers that left, and after that as a last
-    /// resort until their entries should have been restored.
-    void markRemoved(const std::vector<std::string>& ids, const RemovalPolicy& policy, loop::TimeMs now);
+    /// Their servers get no new requests from now on. Entries of running servers expire while the store is unavailable:
+    /// if that is possible, servers that have not announced that they leave stay in use until `giveUpExpired`.
+    void markRemoved(const std::vector<std::string>& ids, bool mayHaveExpired, loop::TimeMs now);
 
-    /// Returns whether the store is currently known to be unavailable. Counts as false if unset.
-    std::function<bool()> isStoreUnavailable;
+    /// Ends the use of the servers whose entries may have expired and did not return. Returns their ids.
+    std::vector<std::string> giveUpExpired();
 
     /// Returns the servers of a service that may get new requests, in key order. Complexity: O(all servers).
     ///
@@ -118,20 +106,15 @@
     const std::map<routing::NodeKey, Server>& all() const { return servers_; }
 
 private:
-    static constexpr loop::TimeMs NEVER = -1'000'000'000;
-
     void setPeerOpen(routing::NodeKey peer, routing::NodeKey server, int open);
     int openAtPeers(routing::NodeKey server) const;
     bool hasAnnouncedLeaving(const ServerInstance& instance) const;
-    bool isLastResort(const Server& server, loop::TimeMs now) const;
-    std::size_t countListed(const std::string& service) const;
-    void purgeRemoved(loop::TimeMs now);
+    void purgeRemoved();
     void decayWeights(Server& server, loop::TimeMs now) const;
     bool failsMoreThanService(const Server& server, loop::TimeMs now) const;
 
     std::map<routing::NodeKey, Server> servers_;
     std::deque<ServerInstance> leavingInstances_; // also those whose entries were removed, as they may be listed again
-    mutable loop::TimeMs storeLastUnavailableAt_ = NEVER;
     std::unordered_map<routing::NodeKey, std::map<routing::NodeKey, int>> peerOpen_; // by peer, then by server
 };
 
--- a/src/goldcrestcleat/upstreams/ServerRegistryUpdater.cpp
+++ b/src/goldcrestcleat/upstreams/ServerRegistryUpdater.cpp
@@ -4,8 +4,14 @@
 
 namespace goldcrestcleat::upstreams {
 
+namespace {
+
+    constexpr loop::TimeMs SETTLING_PERIOD_MS = 100; // between two checks whether missing entries may still return
+
+} // namespace
+
 ServerRegistryUpdater::ServerRegistryUpdater(
-    const loop::EventLoop& loop, const observe::Log& log, ServerRegistry& servers, Hooks hooks)
+    loop::EventLoop& loop, const observe::Log& log, ServerRegistry& servers, Hooks hooks)
     : loop_(loop)
     , log_(log)
     , servers_(servers)
@@ -46,12 +52,35 @@
 
 void ServerRegistryUpdater::applyRemoved(const std::vector<std::string>& ids, std::uint64_t version)
 {
-    servers_.markRemoved(ids, hooks_.removalPolicy(), loop_.now());
+    const loop::TimeMs unansweredMs = hooks_.storeUnansweredMs();
+    const bool mayHaveExpired = hooks_.mayHaveExpired();
+    servers_.markRemoved(ids, mayHaveExpired, loop_.now());
     for (const auto& id : ids) {
         const auto* server = servers_.find(routing::nodeKey(id));
         log_.infoRateLimited("server-removed",
-            { { "server", id }, { "row", version }, { "mayHaveLapsed", server && server->mayHaveExpired } });
+            { { "server", id }, { "row", version }, { "storeUnansweredMs", unansweredMs },
+                { "mayHaveLapsed", server && server->mayHaveExpired } });
+    }
+    if (mayHaveExpired && !isSettling_)
+        scheduleSettling();
+}
+
+void ServerRegistryUpdater::scheduleSettling()
+{
+    isSettling_ = true;
+    loop_.after(SETTLING_PERIOD_MS, [this] { settleExpired(); });
+}
+
+/// Gives up the entries that may have expired once they should have returned.
+void ServerRegistryUpdater::settleExpired()
+{
+    isSettling_ = false;
+    if (hooks_.mayHaveExpired()) {
+        scheduleSettling();
+        return;
     }
+    for (const auto& id : servers_.giveUpExpired())
+        log_.infoRateLimited("server-given-up", { { "server", id } });
 }
 
 } // namespace goldcrestcleat::upstreams
--- a/src/goldcrestcleat/upstreams/ServerRegistryUpdater.h
+++ b/src/goldcrestcleat/upstreams/ServerRegistryUpdater.h
@@ -16,12 +16,13 @@
     struct Hooks {
         /// Parses a row. Throws Error with ServerEntryInvalid.
         std::function<ServerEntry(const std::string& id, const std::string& text)> parse;
-        std::function<RemovalPolicy()> removalPolicy; ///< for entries that are being removed
+        std::function<bool()> mayHaveExpired; ///< returns whether missing entries may have expired and may return
+        std::function<loop::TimeMs()> storeUnansweredMs; ///< time without an answer of the store to any daemon
         std::function<void(routing::NodeKey server)> onRestarted; ///< a known server has been restarted
     };
 
     /// The loop, the log and the registry must outlive this object.
-    ServerRegistryUpdater(const loop::EventLoop& loop, const observe::Log& log, ServerRegistry& servers, Hooks hooks);
+    ServerRegistryUpdater(loop::EventLoop& loop, const observe::Log& log, ServerRegistry& servers, Hooks hooks);
 
     /// Applies changed rows, each of which is passed only once. `version` is that of the table, for the log.
     void onRows(const std::vector<store::VersionedRow>& rows, std::uint64_t version);
@@ -29,11 +30,14 @@
 private:
     void apply(const store::VersionedRow& row);
     void applyRemoved(const std::vector<std::string>& ids, std::uint64_t version);
+    void scheduleSettling();
+    void settleExpired();
 
-    const loop::EventLoop& loop_;
+    loop::EventLoop& loop_;
     const observe::Log& log_;
     ServerRegistry& servers_;
     const Hooks hooks_;
+    bool isSettling_ = false; // entries that may have expired are awaited
 };
 
 } // namespace goldcrestcleat::upstreams
--- a/tests/unit/FakeStore.h
+++ b/tests/unit/FakeStore.h
@@ -16,6 +16,7 @@
         bool isWatch = false;
         std::string fromKey;
         std::uint64_t afterVersion = 0;
+        loop::TimeMs waitMs = 0;
         RowStore::ReadHook answer;
     };
 
@@ -25,10 +26,10 @@
     FakeStore()
     {
         rowStore.read = [this](const std::string&, const std::string& fromKey, RowStore::ReadHook hook) {
-            calls.push_back({ false, fromKey, 0, std::move(hook) });
+            calls.push_back({ false, fromKey, 0, 0, std::move(hook) });
         };
-        rowStore.watch = [this](const std::string&, std::uint64_t after, loop::TimeMs, RowStore::ReadHook hook) {
-            calls.push_back({ true, "", after, std::move(hook) });
+        rowStore.watch = [this](const std::string&, std::uint64_t after, loop::TimeMs waitMs, RowStore::ReadHook hook) {
+            calls.push_back({ true, "", after, waitMs, std::move(hook) });
         };
     }
 
--- a/tests/unit/peer_messages_test.cpp
+++ b/tests/unit/peer_messages_test.cpp
@@ -27,10 +27,10 @@
             { { 1, 0xffffffffffffffffULL, admission::RunStage::Begun, true, 120, "vm1", { 3, 0xffffffffffffffffULL } },
                 { 2, 5, admission::RunStage::Running, false, 0, "vm2", {} } } },
         UpstreamStatus { { { 1, true, false, 7 } } },
-        ServerLoads { { { 1, 2 }, { 3, 0 } }, false, true, { 7, 0 } },
+        ServerLoads { { { 1, 2 }, { 3, 0 } }, false, true, true, { 7, 0 } },
         MirrorRequest { "servers", 12 },
-        MirrorRows { "servers", 12, 1500, { false, 14, { { "a", "x", 13, false }, { "b", "", 14, true } } } },
-        MirrorRows { "op", 0, 0, { true, 9, { { "config", std::string(30'000, 'x') + "\xff\x01", 9, false } } } },
+        MirrorRows { "servers", 12, { false, 14, { { "a", "x", 13, false }, { "b", "", 14, true } } } },
+        MirrorRows { "op", 0, { true, 9, { { "config", std::string(30'000, 'x') + "\xff\x01", 9, false } } } },
         SuspectAnswers { { { 1, 2 }, { 0xffffffffffffffffULL, 1 } } },
         Verdicts {
             { { 0xffffffffffffffffULL, 3, true, 4, 1, { "vm1", "vm2" }, "vm1", 1'700'000'000'123, 2, 1, false } } },
@@ -80,7 +80,7 @@
     std::string value;
     for (int i = 0; i < 2'000; ++i)
         value += R"({"name":"route-)" + std::to_string(i) + R"(","kind":"streaming"},)";
-    const std::string bytes = encode(MirrorRows { "op", 3, 0, { true, 9, { { "config", value, 9, false } } } });
+    const std::string bytes = encode(MirrorRows { "op", 3, { true, 9, { { "config", value, 9, false } } } });
     cr_assert_lt(bytes.size(), value.size() / 5);
     const auto rows = std::get<MirrorRows>(decode(bytes));
     cr_assert(rows.changes.rows.at(0).value == value);
--- a/tests/unit/server_announcements_test.cpp
+++ b/tests/unit/server_announcements_test.cpp
@@ -70,7 +70,7 @@
     cr_assert(f.reportedLeaving[0] == f.entryOf("a").instance());
 
     f.servers.put(f.entryOf("a"), f.loop.now());
-    f.servers.markRemoved({ "a" }, { true, 2'000 }, f.loop.now());
+    f.servers.markRemoved({ "a" }, true, f.loop.now());
     f.servers.put(f.entryOf("a"), f.loop.now());
     for (int i = 0; i < 20; ++i)
         f.call();
--- a/tests/unit/server_book_test.cpp
+++ b/tests/unit/server_book_test.cpp
@@ -40,53 +40,45 @@
     leaving.isLeaving = true;
     registry.put(leaving, 10);
     cr_assert((usableIds(registry, 10) == Ids { "b" }));
-    registry.markRemoved({ "b" }, { false, 2'000 }, 20);
+    registry.markRemoved({ "b" }, false, 20);
     cr_assert(usableIds(registry, 20).empty());
     cr_assert((usableIds(registry, 20, "t") == Ids { "other" }));
 }
 
-Test(server_registry, an_entry_that_may_have_expired_is_used_for_less_than_the_bound_on_removed_servers)
-{
-    ServerRegistry registry;
-    for (const char* id : { "a", "b", "c", "d", "e" })
-        registry.put(entry(id), 0);
-    registry.markRemoved({ "a" }, { true, 2'000 }, 100);
-    cr_assert_eq(usableIds(registry, 1'299).size(), 5);
-    cr_assert((usableIds(registry, 1'300) == Ids { "b", "c", "d", "e" }),
-        "a request that is placed last must still arrive within the bound");
-    registry.put(entry("a"), 1'700);
-    cr_assert_eq(usableIds(registry, 9'000).size(), 5);
-}
-
-Test(server_registry, a_single_entry_that_disappears_while_the_store_is_available_is_removed)
+/// Guards against treating a removal as an expiry because no other server is left: the servers that an operator had
+/// taken away stayed in use for 2.5 s and more.
+Test(server_registry, removed_servers_get_no_requests_however_few_are_left)
 {
+    const std::vector<std::vector<std::string>> removals = { { "a" }, { "a", "b" }, { "a", "b", "c", "d" } };
+    for (const auto& removed : removals) {
+        ServerRegistry registry;
+        for (const char* id : { "a", "b", "c", "d" })
+            registry.put(entry(id), 0);
+        registry.markRemoved(removed, false, 100);
+        cr_assert_eq(usableIds(registry, 100).size(), 4 - removed.size());
+        cr_assert_eq(usableIds(registry, 9'000).size(), 4 - removed.size());
+    }
     ServerRegistry registry;
-    for (const char* id : { "a", "b", "c" })
-        registry.put(entry(id), 0);
-    registry.markRemoved({ "a" }, { false, 2'000 }, 100);
-    cr_assert((usableIds(registry, 100) == Ids { "b", "c" }));
+    registry.put(entry("a"), 0);
+    registry.markRemoved({ "a" }, false, 100);
+    registry.put(entry("new"), 100); // at the address of the removed server
+    cr_assert((usableIds(registry, 100) == Ids { "new" }));
 }
 
-Test(server_registry, entries_of_a_service_that_all_disappear_are_the_last_resort_until_they_should_reappear)
+Test(server_registry, an_entry_that_may_have_expired_is_used_like_the_others_until_it_is_given_up)
 {
     ServerRegistry registry;
-    bool isStoreUnavailable = false;
-    registry.isStoreUnavailable = [&] { return isStoreUnavailable; };
     for (const char* id : { "a", "b", "c" })
         registry.put(entry(id), 0);
-    registry.markRemoved({ "a", "b", "c" }, { false, 2'000 }, 100);
-    cr_assert_eq(usableIds(registry, 1'299).size(), 3,
-        "entries that all disappear must count as expired although no outage was detected");
-    registry.put(entry("b"), 1'700);
-    cr_assert((usableIds(registry, 1'700) == Ids { "b" }), "listed servers take precedence");
-    registry.markRemoved({ "b" }, { true, 2'000 }, 1'800);
-    cr_assert_eq(usableIds(registry, 2'000).size(), 1);
-    isStoreUnavailable = true;
-    cr_assert_eq(usableIds(registry, 4'500).size(), 3, "no entry can reappear while the store is unavailable");
-    isStoreUnavailable = false;
-    cr_assert_eq(usableIds(registry, 6'900).size(), 3);
-    cr_assert(usableIds(registry, 7'000).empty(),
-        "an entry that is still missing after the store has recovered counts as removed");
+    registry.markRemoved({ "a", "b" }, true, 100);
+    cr_assert_eq(usableIds(registry, 2'400).size(), 3);
+    registry.put(entry("a"), 2'400);
+    cr_assert((registry.giveUpExpired() == Ids { "b" }));
+    cr_assert((usableIds(registry, 2'500) == Ids { "a", "c" }));
+    registry.markRemoved({ "b" }, true, 2'600);
+    cr_assert((usableIds(registry, 2'600) == Ids { "a", "c" }), "a later outage does not bring it back");
+    registry.put(entry("b"), 3'000);
+    cr_assert_eq(usableIds(registry, 3'000).size(), 3, "it is registered again");
 }
 
 Test(server_registry, the_entry_of_a_leaving_server_counts_as_removed_and_not_as_expired)
@@ -95,7 +87,7 @@
     ServerEntry leaving = entry("a");
     leaving.isLeaving = true;
     registry.put(leaving, 0);
-    registry.markRemoved({ "a" }, { true, 2'000 }, 100);
+    registry.markRemoved({ "a" }, true, 100);
     cr_assert(usableIds(registry, 100).empty());
 }
 
@@ -131,7 +123,7 @@
     for (const char* id : { "a", "b", "c" })
         registry.put(entry(id), 0);
     registry.recordOutcome(nodeKey("a"), Outcome::Unreachable, 0);
-    registry.markRemoved({ "a" }, { true, 2'000 }, 100);
+    registry.markRemoved({ "a" }, true, 100);
     registry.put(entry("a"), 300);
     cr_assert_eq(usableIds(registry, 300).size(), 3);
 }
--- a/tests/unit/server_feed_test.cpp
+++ b/tests/unit/server_feed_test.cpp
@@ -25,9 +25,7 @@
              entry.address = text;
              return entry;
          },
-            [this] {
-                return RemovalPolicy { mayHaveExpired, 2'000 };
-            },
+            [this] { return mayHaveExpired; }, [] { return 0; },
             [this](routing::NodeKey server) { ended.push_back(server); } } };
 
     std::size_t usableCount() const { return registry.usable("s", loop.now()).size(); }
@@ -49,6 +47,22 @@
     cr_assert(f.ended.empty());
 }
 
+Test(server_feed, an_entry_that_may_have_expired_is_given_up_once_it_can_no_longer_return, .timeout = 20)
+{
+    Fixture f;
+    f.feed.onRows({ { "a", "10.0.0.1:1", 1, false }, { "b", "10.0.0.2:1", 2, false } }, 2);
+    f.mayHaveExpired = true;
+    f.feed.onRows({ { "a", "", 3, true }, { "b", "", 3, true } }, 3);
+    f.loop.after(500, [&] {
+        cr_assert_eq(f.usableCount(), 2);
+        f.feed.onRows({ { "b", "10.0.0.2:1", 4, false } }, 4);
+        f.mayHaveExpired = false;
+    });
+    while (f.usableCount() == 2)
+        f.loop.runOnce();
+    cr_assert_eq(f.registry.usable("s", f.loop.now()).front()->entry.id, "b");
+}
+
 Test(server_feed, an_invalid_row_removes_its_server_only)
 {
     Fixture f;
--- a/tests/unit/server_search_test.cpp
+++ b/tests/unit/server_search_test.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr int DEPTH = 6;
-constexpr loop::TimeMs REMOVAL_BOUND_MS = 2'000; // time after which a server that left must get no requests
 constexpr loop::TimeMs SHORT_MS = 700;
 constexpr loop::TimeMs LONG_MS = 3'000; // longer than any time for which an entry is kept
 
@@ -35,7 +34,6 @@
     enum class ListingState { Ready, Leaving, Removed, Expired };
     ListingState listing = ListingState::Ready;
     std::int64_t born = 1;
-    loop::TimeMs unlistedAt = 0;
     std::int64_t announcedBorn = 0;
 
     bool hasAnnounced() const { return born == announcedBorn; }
@@ -69,11 +67,10 @@
         = state.model.listing == Model::ListingState::Ready || state.model.listing == Model::ListingState::Leaving;
     if (!wasListed)
         return;
-    state.registry.markRemoved({ "x" }, { mayHaveExpired, REMOVAL_BOUND_MS }, state.now);
+    state.registry.markRemoved({ "x" }, mayHaveExpired, state.now);
     const bool isServing = state.model.listing == Model::ListingState::Ready && !state.model.hasAnnounced();
     const bool expired = mayHaveExpired && isServing;
     state.model.listing = expired ? Model::ListingState::Expired : Model::ListingState::Removed;
-    state.model.unlistedAt = state.now;
 }
 
 const std::vector<Action>& actions()
@@ -83,6 +80,12 @@
         { "leaves", [](State& s) { put(s, true); } },
         { "is removed", [](State& s) { unlist(s, false); } },
         { "is removed while the store is unavailable", [](State& s) { unlist(s, true); } },
+        { "is missing for too long after the return of the store",
+            [](State& s) {
+                s.registry.giveUpExpired();
+                if (s.model.listing == Model::ListingState::Expired)
+                    s.model.listing = Model::ListingState::Removed;
+            } },
         { "restarts",
             [](State& s) {
                 ++s.model.born;
@@ -137,7 +140,6 @@
     void check(const State& state) const
     {
         const bool isServerUsable = isUsable(state, "s", "x");
-        const loop::TimeMs unlistedMs = state.now - state.model.unlistedAt;
         if (state.model.hasAnnounced())
             cr_assert(!isServerUsable, "%s: a server that announced that it leaves gets requests", path().c_str());
         switch (state.model.listing) {
@@ -150,8 +152,8 @@
             cr_assert(!isServerUsable, "%s: a server that left gets requests", path().c_str());
             break;
         case Model::ListingState::Expired:
-            cr_assert(!isServerUsable || unlistedMs < REMOVAL_BOUND_MS,
-                "%s: a server whose entry expired gets requests for too long", path().c_str());
+            cr_assert(isServerUsable || state.model.hasAnnounced(),
+                "%s: a server whose entry expired gets no requests before its entry can return", path().c_str());
         }
         cr_assert(!isUsable(state, "other", "x"), "%s: the server gets requests for another service", path().c_str());
         cr_assert_eq(isUsable(state, "other", "y"), state.isAddressTaken, "%s: the server that reuses the address",
--- a/tests/unit/shared_tables_test.cpp
+++ b/tests/unit/shared_tables_test.cpp
@@ -13,9 +13,11 @@
 constexpr routing::NodeKey FIRST = 10;
 constexpr routing::NodeKey SECOND = 20;
 constexpr routing::NodeKey LAST = 90;
+constexpr loop::TimeMs STEP_MS = 10;
 
 struct Fixture {
-    loop::EventLoop loop;
+    loop::TimeMs now = 1'000'000;
+    loop::EventLoop loop { [this] { return now; } };
     FakeStore store;
     std::vector<std::pair<routing::NodeKey, PeerMessage>> sent;
     std::vector<PeerMessage> broadcasts;
@@ -29,6 +31,7 @@
 
     Fixture()
     {
+        loop.every(STEP_MS, [] {}); // a due timer in each step keeps the loop from waiting for sockets
         tables.add(watcher);
         tables.setListedPeers({});
     }
@@ -41,11 +44,13 @@
     }
 
     /// Delivers a peer's report on the store and on the newest version of its rows.
-    void report(routing::NodeKey peer, bool storeAnswers, bool isWatchOverdue = false, std::uint64_t newestRow = 0)
+    void report(routing::NodeKey peer, bool storeAnswers, bool isWatchOverdue = false, std::uint64_t newestRow = 0,
+        bool isWatchAnswered = false)
     {
         ServerLoads loads;
         loads.storeAnswers = storeAnswers;
         loads.isWatchOverdue = isWatchOverdue;
+        loads.isWatchAnswered = isWatchAnswered;
         loads.newestRows = { newestRow };
         tables.onPeerReport(peer, loads);
     }
@@ -57,12 +62,21 @@
         return loads;
     }
 
+    /// Runs for a time in which the periodic updates take place.
+    void updateFor(loop::TimeMs ms)
+    {
+        for (loop::TimeMs i = 0; i < ms; i += 100) {
+            runFor(100);
+            tables.updateLeading();
+        }
+    }
+
     void runFor(loop::TimeMs ms)
     {
-        bool isOver = false;
-        loop.after(ms, [&] { isOver = true; });
-        while (!isOver)
+        for (const loop::TimeMs until = now + ms; now < until;) {
+            now += STEP_MS;
             loop.runOnce();
+        }
     }
 };
 
@@ -87,7 +101,7 @@
 
 /// Guards against treating a late answer of the store as an outage: besides moving the lead, such reports kept removed
 /// entries in use for as long as they arrived.
-Test(shared_tables, a_peer_whose_watch_is_overdue_does_not_lead_but_is_not_without_the_store)
+Test(shared_tables, a_peer_whose_watch_is_overdue_does_not_lead)
 {
     Fixture f;
     f.report(FIRST, true);
@@ -95,9 +109,63 @@
     cr_assert_not(f.tables.isLeading());
     f.report(SECOND, true, true);
     cr_assert(f.tables.isLeading(), "its watch may be cut off without an error");
-    cr_assert_not(f.tables.hasPeerWithoutStore(), "a late answer does not prove that the store is unavailable");
+    cr_assert_not(f.tables.mayHaveExpired(), "a late answer does not prove that the store is unavailable");
+}
+
+/// Guards against treating one daemon's loss of the store as an outage: entries that were removed meanwhile counted as
+/// expired at all daemons, which kept sending requests to the servers.
+Test(shared_tables, entries_may_have_expired_only_while_the_store_answers_no_daemon, .timeout = 30)
+{
+    Fixture f;
+    f.report(FIRST, true, false, 0, true);
+    f.report(SECOND, true, false, 0, true);
+    for (const routing::NodeKey lost : { FIRST, SECOND, LAST }) {
+        f.report(lost, false);
+        f.updateFor(OutageTracker::MIN_OUTAGE_MS + 100);
+        cr_assert_not(f.tables.mayHaveExpired(), "the store answers another daemon");
+        if (lost != LAST)
+            f.report(lost, true, false, 0, true);
+    }
+    f.report(FIRST, false);
+    f.report(SECOND, true, true);
+    cr_assert_not(f.tables.mayHaveExpired(), "other daemons may not have asked the store yet");
+    f.updateFor(OutageTracker::MIN_OUTAGE_MS + 100);
+    cr_assert(f.tables.mayHaveExpired());
+    f.report(SECOND, true, false, 0, true);
+    cr_assert(f.tables.mayHaveExpired(), "the store is back, and the entries are on their way");
+    f.updateFor(OutageTracker::RETURN_MS);
+    cr_assert_not(f.tables.mayHaveExpired());
+}
+
+Test(shared_tables, the_report_of_a_peer_does_not_outlast_its_link, .timeout = 20)
+{
+    Fixture f;
+    f.report(FIRST, true, false, 0, true);
+    f.report(SECOND, true);
+    f.tables.removePeer(FIRST);
+    f.report(FIRST, true); // restarted: it has not asked the store yet
+    f.updateFor(OutageTracker::MIN_OUTAGE_MS + 100);
+    cr_assert(f.tables.mayHaveExpired(), "the daemon itself does not reach the store and no peer reports an answer");
+}
+
+Test(shared_tables, a_daemon_that_begins_to_lead_reports_an_answer_only_after_one, .timeout = 20)
+{
+    Fixture f;
+    f.readTable();
+    cr_assert(f.described().isWatchAnswered);
+    f.report(FIRST, true, false, 0, true);
+    f.report(SECOND, true, false, 0, true);
+    f.store.take().answer(answered({}, 10));
+    cr_assert_not(f.described().isWatchAnswered, "it leads no longer");
     f.report(SECOND, false);
-    cr_assert(f.tables.hasPeerWithoutStore());
+    cr_assert_not(f.described().isWatchAnswered);
+    f.runFor(10);
+    const auto first = f.store.take();
+    cr_assert_eq(first.waitMs, 0, "the first watch does not wait for a change");
+    first.answer(answered({}, 10));
+    cr_assert(f.described().isWatchAnswered);
+    f.runFor(10);
+    cr_assert_gt(f.store.take().waitMs, 0);
 }
 
 Test(shared_tables, a_leaders_late_watch_is_reported_as_overdue_and_a_failed_call_as_no_answer)
@@ -143,9 +211,9 @@
     cr_assert_eq(f.sent.size(), 1);
     cr_assert_eq(f.sent.front().first, FIRST);
     cr_assert_eq(std::get<MirrorRequest>(f.sent.front().second).afterVersion, 10);
-    f.tables.onRows(FIRST, MirrorRows { "t", 10, 0, { false, 12, { { "a", "2", 12, false } } } });
+    f.tables.onRows(FIRST, MirrorRows { "t", 10, { false, 12, { { "a", "2", 12, false } } } });
     cr_assert_eq(f.watcher.mirror().version(), 12);
-    f.tables.onRows(FIRST, MirrorRows { "t", 15, 0, { false, 16, {} } });
+    f.tables.onRows(FIRST, MirrorRows { "t", 15, { false, 16, {} } });
     cr_assert_eq(std::get<MirrorRequest>(f.sent.back().second).afterVersion, 12, "missing changes must be requested");
 }
 
--- a/tests/unit/table_watcher_test.cpp
+++ b/tests/unit/table_watcher_test.cpp
@@ -72,7 +72,6 @@
              f.store.take().answer(answered({ { "a", "1", 3, false } }, 10));
          } } });
     cr_assert((f.availability == std::vector<bool> { false, true }));
-    cr_assert_gt(f.watcher.expiryGraceUntil(), f.loop.now(), "expired entries may still reappear");
 }
 
 Test(table_watcher, applies_newer_rows_of_a_peer_while_the_store_is_unavailable)
@@ -82,9 +81,9 @@
     f.store.take().answer(answered({ { "a", "1", 3, false } }, 10));
     f.store.take().answer(failed(ReadOutcome::NoAnswer));
     cr_assert_not(f.watcher.isCurrent());
-    f.watcher.applyFromPeer({ false, 12, { { "a", "2", 12, false } } }, 0);
+    f.watcher.applyFromPeer({ false, 12, { { "a", "2", 12, false } } });
     cr_assert(f.changed.back().value == "2");
-    f.watcher.applyFromPeer({ true, 11, {} }, 0);
+    f.watcher.applyFromPeer({ true, 11, {} });
     cr_assert_eq(f.watcher.mirror().version(), 12, "an older copy changes nothing");
     f.run({ { 300, [&] { cr_assert_eq(f.store.take().afterVersion, 12); } } });
 }
