Keep a request at a server that pauses until another one goes on with it

Cause: after a silence, a request that may run again was taken from its server, and the connection closed, before another server had taken it. If that one rejected it, could not be reached, failed or resumed at a wrong position, nothing was left. The stop has no part in it.

Ruled out: the stop closing connections, the end of the grace time (the same cut shows without a stop).

Change: the other server is asked while the current one keeps the request. It takes over with its first valid event or the head of its answer, or when it has not rejected the request for 250 ms; the first server that goes on wins, and the other connection is closed at once. The same holds for servers that are reported as down.

--- a/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <utility>
 
-// Placement, sending, timeouts and completion. ForwardedResponse.cpp handles responses and failed attempts.
+// Placement, sending, timeouts and completion. ForwardedResponse.cpp handles responses and failed attempts,
+// ForwardedTakeover.cpp the change to another server while the current one makes no progress.
 
 namespace goldcrestcleat::forwarding {
 
@@ -62,7 +63,7 @@
 
 bool ForwardedRequest::canMigrate() const
 {
-    return plan_.isStream && hooks_.findLessLoaded && attempt_.call && !isMigrating_ && !isEnded_;
+    return plan_.isStream && hooks_.findLessLoaded && attempt_.call && !isMigrating_ && !takeover_ && !isEnded_;
 }
 
 void ForwardedRequest::migrate()
@@ -159,27 +160,40 @@
 
 void ForwardedRequest::send(const Placement& placement, http::Client::Reuse reuse)
 {
-    attempt_ = Attempt();
-    attempt_.serial = ++attemptCount_;
-    attempt_.placement = placement;
-    attempt_.holdsPlacement = true;
-    attempt_.sentAt = env_.loop.now();
+    attempt_ = startAttempt(placement, reuse);
+    lastProgressAt_ = env_.loop.now();
+    armProgressTimer();
+}
+
+ForwardedRequest::Attempt ForwardedRequest::startAttempt(const Placement& placement, http::Client::Reuse reuse)
+{
+    Attempt attempt;
+    attempt.serial = ++attemptCount_;
+    attempt.placement = placement;
+    attempt.holdsPlacement = true;
+    attempt.sentAt = env_.loop.now();
     if (attemptCount_ == 1)
         env_.metrics.onAddedLatency(static_cast<double>(env_.loop.now() - arrivedAt()));
     tried_.push_back(placement.server);
     const auto request = hooks_.encode(placement, progress());
-    attempt_.call = env_.client.start(placement.address, request, hooksFor(attempt_.serial), reuse);
-    lastProgressAt_ = env_.loop.now();
-    armProgressTimer();
+    attempt.call = env_.client.start(placement.address, request, hooksFor(attempt.serial), reuse);
+    return attempt;
 }
 
 http::Call::Hooks ForwardedRequest::hooksFor(int serial)
 {
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
-    // The callbacks of an abandoned attempt have no effect.
-    const auto current = [weak, serial]() -> Ptr {
-        const auto self = weak.lock();
-        return self && !self->isEnded_ && self->attempt_.serial == serial ? self : nullptr;
+    // Calls the method for the current attempt or for the takeover. Callbacks of an abandoned attempt have no effect.
+    const auto dispatch = [weak, serial](auto onCurrent, auto onTakeover) {
+        return [weak, serial, onCurrent, onTakeover](const auto&... arguments) {
+            const auto self = weak.lock();
+            if (!self || self->isEnded_)
+                return;
+            if (self->attempt_.serial == serial)
+                (self.get()->*onCurrent)(arguments...);
+            else if (self->takeover_ && self->takeover_->attempt.serial == serial)
+                (self.get()->*onTakeover)(arguments...);
+        };
     };
     http::Call::Hooks hooks;
     hooks.isOwnResponse = [weak](const Poco::Net::HTTPResponse& head) {
@@ -190,22 +204,10 @@
         const auto self = weak.lock();
         return self && (!self->hooks_.isIdentified || self->hooks_.isIdentified(head));
     };
-    hooks.onHead = [current](const Poco::Net::HTTPResponse& head) {
-        if (const auto self = current())
-            self->onHead(head);
-    };
-    hooks.onBody = [current](std::string_view part) {
-        if (const auto self = current())
-            self->onBody(part);
-    };
-    hooks.onEnd = [current] {
-        if (const auto self = current())
-            self->onEnd();
-    };
-    hooks.onFailure = [current](http::FailurePoint point, const std::string& reason) {
-        if (const auto self = current())
-            self->onFailure(point, reason);
-    };
+    hooks.onHead = dispatch(&ForwardedRequest::onHead, &ForwardedRequest::onTakeoverHead);
+    hooks.onBody = dispatch(&ForwardedRequest::onBody, &ForwardedRequest::onTakeoverBody);
+    hooks.onEnd = dispatch(&ForwardedRequest::onEnd, &ForwardedRequest::onTakeoverEnd);
+    hooks.onFailure = dispatch(&ForwardedRequest::onFailure, &ForwardedRequest::onTakeoverFailure);
     return hooks;
 }
 
@@ -222,6 +224,8 @@
     const loop::TimeMs sinceMs = env_.loop.now() - lastProgressAt_;
     lastProgressAt_ = env_.loop.now();
     attempt_.isSuspected = false;
+    if (takeover_)
+        onProgressDuringTakeover();
     if (attempt_.hasBody) {
         longestPauseMs_ = std::max(longestPauseMs_, sinceMs);
         return;
@@ -245,6 +249,12 @@
     return attempt_.hasBody ? plan_.idleSuspectMs : plan_.firstByteSuspectMs;
 }
 
+/// Returns the time since the last progress of the current attempt, or since its inactivity was last handled.
+loop::TimeMs ForwardedRequest::inactiveMs() const
+{
+    return env_.loop.now() - std::max(lastProgressAt_, inactivityHandledAt_);
+}
+
 /// The timer is not rearmed with each part of a response. When it expires, inactivity is checked and it may be rearmed.
 void ForwardedRequest::armProgressTimer()
 {
@@ -252,7 +262,7 @@
     if (timeoutMs == 0)
         return;
     env_.loop.cancel(progressTimer_);
-    const loop::TimeMs dueInMs = lastProgressAt_ + timeoutMs - env_.loop.now();
+    const loop::TimeMs dueInMs = timeoutMs - inactiveMs();
     progressTimer_ = env_.loop.after(std::max<loop::TimeMs>(dueInMs, 1), [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->onProgressTimer();
@@ -266,36 +276,34 @@
         return;
     if (isCallerSlow_)
         lastProgressAt_ = env_.loop.now();
-    const loop::TimeMs inactiveMs = env_.loop.now() - lastProgressAt_;
-    if (suspectTimeoutMs() > 0 && inactiveMs >= suspectTimeoutMs()) {
+    if (suspectTimeoutMs() > 0 && inactiveMs() >= suspectTimeoutMs()) {
         attempt_.isSuspected = true;
         hooks_.suspect(attempt_.placement);
     }
     if (isEnded_ || !attempt_.call)
         return;
-    if (inactivityTimeoutMs() > 0 && inactiveMs >= inactivityTimeoutMs())
+    if (inactivityTimeoutMs() > 0 && inactiveMs() >= inactivityTimeoutMs())
         onInactivity();
     else
         armProgressTimer();
 }
 
-/// Abandons the attempt only if the request can be sent to another server and the budget has a retry left, or if its
-/// plan says that it fails. Otherwise it keeps waiting, because the server may still respond.
+/// Tries another server if that is allowed, or ends the attempt if its plan says that it fails. The server may still
+/// respond, so it keeps the request until another one has taken it over.
 void ForwardedRequest::onInactivity()
 {
     if (!attempt_.call->isConnected()) {
         onUnreachable("connection timed out");
         return;
     }
-    holdsRetry_ = !plan_.failsWhenUnresponsive && mayAbandonAttempt() && hooks_.tryTakeRetry();
-    if (holdsRetry_ || plan_.failsWhenUnresponsive) {
+    if (plan_.failsWhenUnresponsive) {
         onBroken(FailureKind::Unresponsive, "server made no progress within the timeout");
         return;
     }
-    if (mayAbandonAttempt()) {
-        lastProgressAt_ = env_.loop.now(); // the budget may have a retry when the timer expires again
+    beginTakeover("server made no progress within the timeout");
+    inactivityHandledAt_ = env_.loop.now(); // another server may be available when the timer expires again
+    if (mayAbandonAttempt())
         armProgressTimer();
-    }
 }
 
 void ForwardedRequest::onServerDown()
@@ -303,9 +311,8 @@
     // Opening a connection has a timeout of its own.
     if (isEnded_ || !attempt_.call || !attempt_.call->isConnected())
         return;
-    holdsRetry_ = mayAbandonAttempt() && hooks_.tryTakeRetry();
-    if (holdsRetry_)
-        onBroken(FailureKind::Unresponsive, "server became unreachable");
+    if (!plan_.failsWhenUnresponsive)
+        beginTakeover("server became unreachable");
 }
 
 void ForwardedRequest::onBan(admission::Fingerprint fingerprint)
@@ -314,8 +321,7 @@
     const bool isAffected = std::find(fingerprints.begin(), fingerprints.end(), fingerprint) != fingerprints.end();
     if (isEnded_ || !isAffected || attempt_.headAt || probedBan_)
         return;
-    if (attempt_.call && attempt_.call->isConnected())
-        ++possibleRuns_;
+    possibleRuns_ += runningAttempts();
     failQuarantined(fingerprint);
 }
 
@@ -327,12 +333,19 @@
     if (attempt_.call) {
         hooks_.explain("time-up",
             { { "server", attempt_.placement.serverId }, { "sinceSendMs", env_.loop.now() - attempt_.sentAt } });
-        if (attempt_.call->isConnected())
-            ++possibleRuns_;
     }
+    possibleRuns_ += runningAttempts();
     fail(possibleRuns_ > 0 ? ResultCode::UpstreamTimeout : ResultCode::DeadlineUnreachable, "request timed out");
 }
 
+/// Returns the number of open attempts that a server may be executing.
+int ForwardedRequest::runningAttempts() const
+{
+    const bool runsCurrent = attempt_.call && attempt_.call->isConnected();
+    const bool runsTakeover = takeover_ && takeover_->attempt.call->isConnected();
+    return (runsCurrent ? 1 : 0) + (runsTakeover ? 1 : 0);
+}
+
 // ---- private: completion ----
 
 /// Ends the request with an error.
@@ -381,6 +394,8 @@
         hooks_.cancelPlacement();
     if (code == ResultCode::Ok && plan_.requiresEndMarker)
         drainCall();
+    if (takeover_)
+        endTakeover("the request has ended");
     closeAttempt();
     env_.loop.cancel(timeoutTimer_);
     exchange_->onCallerDisconnected = nullptr;
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -25,8 +25,8 @@
 /// State machine of one caller's request, from its admission to the last byte of its response.
 ///
 /// The request is placed on a server and sent there. It is sent again only if the server stated that it did not execute
-/// it, if no byte of it left this process, or if it may be executed more than once. Its hooks define the placement and
-/// the wire format.
+/// it, if no byte of it left this process, or if it may be executed more than once. A server that makes no progress
+/// keeps the request until another one has taken it over. Its hooks define the placement and the wire format.
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
 public:
     using Ptr = std::shared_ptr<ForwardedRequest>;
@@ -43,7 +43,7 @@
 
     loop::TimeMs arrivedAt() const { return exchange_->arrivedAt(); }
 
-    /// Retries on another server, if allowed, because the current one has become unreachable.
+    /// Tries another server, if allowed, because the current one cannot be reached by new connections.
     void onServerDown();
 
     /// Gives up the request if its fingerprints include one that is banned from now on and its answer has not begun.
@@ -70,6 +70,14 @@
         bool hasSurvived = false; ///< the server has survived the beginning of its answer
     };
 
+    /// An attempt at another server while the current one makes no progress but may still answer.
+    struct Takeover {
+        Attempt attempt;
+        std::optional<loop::TimeMs> connectedAt; ///< when its connection was first seen to be open
+        std::string bytes; ///< of its stream, up to the first complete event
+        loop::EventLoop::TimerId timer = 0;
+    };
+
     // Placement and sending.
     void place();
     bool passesQuarantine();
@@ -77,6 +85,7 @@
     void onProbeClaimed(bool isClaimed);
     void onPlaced(const PlacementResult& result);
     void send(const Placement& placement, http::Client::Reuse reuse);
+    Attempt startAttempt(const Placement& placement, http::Client::Reuse reuse);
     http::Call::Hooks hooksFor(int serial);
     Progress progress() const { return { tried_, remainingMs(), position_ }; }
 
@@ -88,7 +97,7 @@
     void flush();
     void onEnd();
     void onFailure(http::FailurePoint point, const std::string& reason);
-    bool isEventStream() const;
+    bool isEventStream(const Attempt& attempt) const;
     admission::RunStage stage() const;
     void noteSurvival();
     void finishStream();
@@ -104,6 +113,22 @@
     void retry(const std::string& reason, NextServer next);
     void fail(errors::ResultCode code, const std::string& context);
 
+    // Takeover by another server.
+    void beginTakeover(const std::string& reason);
+    void onTakeoverPlaced(const PlacementResult& result, const std::string& reason);
+    void onTakeoverHead(const Poco::Net::HTTPResponse& head);
+    void onTakeoverBody(std::string_view part);
+    void onTakeoverEnd();
+    void onTakeoverFailure(http::FailurePoint point, const std::string& reason);
+    void onTakeoverBroken(FailureKind kind, const std::string& reason);
+    void onTakeoverTimer();
+    void armTakeoverTimer();
+    void onProgressDuringTakeover();
+    void abandonForTakeover();
+    void completeTakeover();
+    void endTakeover(const std::string& reason);
+    bool continueByTakeover();
+
     // Timeouts.
     void recordProgress();
     void recordPace(loop::TimeMs durationMs) const;
@@ -117,6 +142,8 @@
         return attempt_.hasBody ? plan_.idleTimeoutMs : plan_.firstByteTimeoutMs;
     }
     loop::TimeMs suspectTimeoutMs() const;
+    loop::TimeMs inactiveMs() const;
+    int runningAttempts() const;
     bool mayAbandonAttempt() const { return plan_.mayRepeat && possibleRuns_ + 1 < plan_.attempts; }
 
     // Completion.
@@ -133,12 +160,13 @@
     const Plan plan_;
     const RequestHooks hooks_;
     Attempt attempt_;
+    std::optional<Takeover> takeover_;
     std::vector<routing::NodeKey> tried_;
     int attemptCount_ = 0;
     int possibleRuns_ = 0; // attempts that may have been executed
     int rejections_ = 0; // attempts that a server stated it did not execute
     int connectFailures_ = 0; // attempts for which no connection could be opened
-    bool holdsRetry_ = false; // taken from the retry budget before the current attempt was abandoned
+    bool holdsRetry_ = false; // taken from the retry budget and not used yet
     std::optional<admission::Fingerprint> probedBan_; // the ban that this request probes
     bool isPlacing_ = false;
     bool isMigrating_ = false;
@@ -153,6 +181,7 @@
     loop::EventLoop::TimerId timeoutTimer_ = 0;
     loop::EventLoop::TimerId progressTimer_ = 0;
     loop::TimeMs lastProgressAt_ = 0;
+    loop::TimeMs inactivityHandledAt_ = 0; // when a server was last sought because of inactivity
 };
 
 } // namespace goldcrestcleat::forwarding
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -49,13 +49,13 @@
         timeToHeadMs_ = env_.loop.now() - arrivedAt();
     if (attempt_.head.isForOtherRequest)
         onBroken(FailureKind::Invalid, "response belongs to another request");
-    else if (attempt_.head.hasWrongPosition)
+    else if (attempt_.head.hasWrongPosition && !continueByTakeover())
         fail(ResultCode::AnswerIncomplete, "server did not resume the stream at the requested position");
 }
 
-bool ForwardedRequest::isEventStream() const
+bool ForwardedRequest::isEventStream(const Attempt& attempt) const
 {
-    return plan_.isStream && attempt_.head.isAuthentic && isSuccess(attempt_.head.status);
+    return plan_.isStream && attempt.head.isAuthentic && isSuccess(attempt.head.status);
 }
 
 /// Returns how far the current run has come, which tells how likely its request is to have crashed the server.
@@ -80,7 +80,7 @@
 
 void ForwardedRequest::onBody(std::string_view part)
 {
-    if (!isEventStream()) {
+    if (!isEventStream(attempt_)) {
         appendToBody(part);
         return;
     }
@@ -150,7 +150,7 @@
 {
     if (attempt_.head.wasNotExecuted)
         onRejected();
-    else if (!isEventStream())
+    else if (!isEventStream(attempt_))
         finishBuffered();
     else if (attempt_.events.hasPartialEvent() || plan_.requiresEndMarker)
         onBroken(FailureKind::Broken, "stream ended before it was complete");
@@ -182,6 +182,8 @@
     if (head.isFailure) {
         hooks_.recordOutcome(attempt_.placement, Outcome::ServerError);
         ++possibleRuns_;
+        if (continueByTakeover())
+            return;
         if (mayRunAgain() && takeRetry()) {
             retry("server error", NextServer::Another);
             return;
@@ -221,6 +223,8 @@
 {
     hooks_.recordOutcome(attempt_.placement, Outcome::Rejected);
     ++rejections_;
+    if (continueByTakeover())
+        return;
     if (!probedBan_ && rejections_ <= MAX_REJECTED_RETRIES && takeRetry()) {
         retry("rejected", NextServer::Another);
         return;
@@ -254,6 +258,8 @@
         return;
     if (const auto* ban = env_.quarantine.findBan(plan_.fingerprints))
         failQuarantined(ban->fingerprint);
+    else if (continueByTakeover())
+        return;
     else if (mayRunAgain() && takeRetry())
         retry(labelOf(kind), next);
     else
--- a/src/goldcrestcleat/forwarding/RequestHooks.h
+++ b/src/goldcrestcleat/forwarding/RequestHooks.h
@@ -29,7 +29,7 @@
     int attempts = 1; ///< maximum number of executions
     loop::TimeMs timeoutMs = 0; ///< counted from the arrival; no attempt is sent after it
     bool timeoutCoversResponse = true; ///< the response must be complete within `timeoutMs` too
-    loop::TimeMs firstByteTimeoutMs = 0; ///< an attempt is abandoned after waiting so long for its body; 0 for never
+    loop::TimeMs firstByteTimeoutMs = 0; ///< another server is tried after waiting so long for the body; 0 for never
     loop::TimeMs idleTimeoutMs = 0; ///< the same between two parts of a response body
     loop::TimeMs firstByteSuspectMs = 0; ///< wait for the body after which the server is probed; 0 for never
     loop::TimeMs idleSuspectMs = 0; ///< the same between two parts of a response body
@@ -47,6 +47,7 @@
     std::int64_t serverStartedAtMs = 0; ///< Unix time; 0 if not known
     std::uint64_t lease = 0; ///< ticket from the server's owner; 0 where none is needed
     bool isSuspect = false; ///< the request took part in a recent crash; no other such request runs beside it
+    loop::TimeMs placedAt = 0; ///< when the server was chosen
     std::string fetchFrom; ///< address of an engine that may have the prompt's context cached; empty for none
 };
 
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -188,8 +188,8 @@
     placement.address = server->entry.address;
     placement.serverStartedAtMs = server->entry.startedAtMs;
     placement.fetchFrom = fetchAddress(choice);
+    placement.placedAt = env_.requests.loop.now();
     env_.servers.addRequest(choice.server);
-    placedAt_ = env_.requests.loop.now();
     if (const auto key = contextKey()) {
         countSharedTokens(placement, env_.contextHolders.find(*key) == choice.server || choice.isFirstChoice);
         env_.contextHolders.put(*key, choice.server);
@@ -200,7 +200,7 @@
 void RoutedCall::release(const Placement& placement)
 {
     env_.servers.removeRequest(placement.server);
-    env_.durations.record(service_, env_.requests.loop.now() - placedAt_);
+    env_.durations.record(service_, env_.requests.loop.now() - placement.placedAt);
 }
 
 std::vector<routing::Candidate> RoutedCall::candidates(const std::vector<NodeKey>& tried) const
--- a/src/goldcrestcleat/forwarding/RoutedCall.h
+++ b/src/goldcrestcleat/forwarding/RoutedCall.h
@@ -86,7 +86,6 @@
     const routes::Workspace* workspace_ = nullptr;
     std::string service_;
     std::vector<admission::Fingerprint> fingerprints_;
-    loop::TimeMs placedAt_ = 0;
 };
 
 } // namespace goldcrestcleat::forwarding
--- a/src/goldcrestcleat/store/OutageTracker.h
+++ b/src/goldcrestcleat/store/OutageTracker.h
@@ -51,10 +51,7 @@
     loop::TimeMs unansweredMs(loop::TimeMs now) const { return now - answeredAt_; }
 
     /// Returns whether an entry that is missing now may have expired, and may still return.
-    bool mayHaveExpired(loop::TimeMs now) const
-    {
-        return unansweredMs(now) >= MIN_OUTAGE_MS || now < returnUntil_;
-    }
+    bool mayHaveExpired(loop::TimeMs now) const { return unansweredMs(now) >= MIN_OUTAGE_MS || now < returnUntil_; }
 
 private:
     loop::TimeMs answeredAt_;
--- a/tests/fleet/removed_server_test.cpp
+++ b/tests/fleet/removed_server_test.cpp
@@ -43,7 +43,8 @@
         rig.storeRelay(i).setMode(RelayMode::Blackhole);
         rig.storeRelay(i).blackholeConnections();
     }
-    cr_assert(waitUntil([&] { return !rig.logLines(0, "store-lost").empty() || !rig.logLines(1, "store-lost").empty(); }));
+    cr_assert(
+        waitUntil([&] { return !rig.logLines(0, "store-lost").empty() || !rig.logLines(1, "store-lost").empty(); }));
     rig.unregisterServer(FrontRig::appName(0));
     cr_assert_eq(awaitRemoval(rig, 2)["mayHaveLapsed"], false);
     assertRefused(rig, 2);
--- a/tests/unit/RequestFixture.h
+++ b/tests/unit/RequestFixture.h
@@ -171,9 +171,12 @@
             head.isAuthentic = true;
             head.wasNotExecuted = head.status == 503;
             head.isFailure = head.status == 500;
+            head.hasWrongPosition = response.has("X-Wrong-Position");
             return head;
         };
         hooks.readEvent = [](const forwarding::StreamEvent& event, std::optional<std::uint64_t>) {
+            if (event.bytes == "invalid\n\n")
+                return ParsedEvent();
             const bool isEnd = event.bytes == "end\n\n";
             return ParsedEvent { isEnd ? ParsedEvent::Kind::Complete : ParsedEvent::Kind::Forward, event.bytes,
                 event.id, true };
--- a/tests/unit/removal_search_test.cpp
+++ b/tests/unit/removal_search_test.cpp
@@ -373,7 +373,10 @@
     static const std::vector<Event> all = {
         { "removal", [](Fleet& f) { f.takeAway(); } },
         { "leader loses the store", [](Fleet& f) { f.store.cutDaemons.insert(0); } },
-        { "both leaders lose the store", [](Fleet& f) { f.store.cutDaemons = { 0, 1 }; } },
+        { "both leaders lose the store",
+            [](Fleet& f) {
+                f.store.cutDaemons = { 0, 1 };
+            } },
         { "follower loses the store", [](Fleet& f) { f.store.cutDaemons.insert(3); } },
         { "leader is isolated",
             [](Fleet& f) {
