--- a/tests/unit/RoutedFixture.h
+++ b/tests/unit/RoutedFixture.h
@@ -24,7 +24,8 @@
         std::string body;
     };
 
-    RoutedFixture()
+    explicit RoutedFixture(const http::Limits& answerLimits = http::Limits())
+        : serverClient_(loop, answerLimits)
     {
         route.name = "r";
         route.host = "h";
@@ -145,7 +146,7 @@
     std::mt19937_64 random_ { 1 };
     routes::RouteTable::Ptr routes_;
     forwarding::Dialect dialect_ = platform::makeHeaderDialect();
-    http::Client serverClient_ { loop, http::Limits() };
+    http::Client serverClient_;
     http::Client callerClient_ { loop, http::Limits() };
     forwarding::Environment environment_ { loop, serverClient_, metrics_, quarantine, {}, nullptr };
     forwarding::RoutedEnvironment routedEnvironment_ { environment_, settings_, log_, servers, paces, durations,
