Takeover: one copy of the retry limits; explain shows servers that were given up

Read as a newcomer: the limits of retries stood twice, and a chain of else-if ended in a return. No change of behaviour but the further state change that explain prints. One test file was not formatted.

--- a/src/goldcrestcleat/cli/LogCommands.cpp
+++ b/src/goldcrestcleat/cli/LogCommands.cpp
@@ -105,9 +105,10 @@
 
 bool isStateChange(const json& line)
 {
-    static const std::set<std::string> events = { "started", "stopped", "stop-begun", "reloaded", "reload-failed",
-        "configuration", "configuration-invalid", "store-lost", "store-regained", "peer-up", "peer-down",
-        "peer-forgotten", "server-removed", "server", "server-lost", "server-regained", "loop-late", "loop-slow" };
+    static const std::set<std::string> events
+        = { "started", "stopped", "stop-begun", "reloaded", "reload-failed", "configuration", "configuration-invalid",
+              "store-lost", "store-regained", "peer-up", "peer-down", "peer-forgotten", "server-removed",
+              "server-given-up", "server", "server-lost", "server-regained", "loop-late", "loop-slow" };
     return events.count(stringOf(line, "event")) > 0;
 }
 
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -53,6 +53,9 @@
     void migrate();
 
 private:
+    static constexpr int MAX_REJECTED_RETRIES = 3; // retries after rejections, each taken from the retry budget
+    static constexpr int MAX_CONNECT_RETRIES = 4; // further servers tried after failed connections
+
     /// One send of the request to one server.
     struct Attempt {
         int serial = 0; ///< identifies the attempt to its callbacks; 0 once it is cancelled
@@ -181,7 +184,7 @@
     loop::EventLoop::TimerId timeoutTimer_ = 0;
     loop::EventLoop::TimerId progressTimer_ = 0;
     loop::TimeMs lastProgressAt_ = 0;
-    loop::TimeMs inactivityHandledAt_ = 0; // when a server was last sought because of inactivity
+    loop::TimeMs inactivityHandledAt_ = 0; // when another server was last sought because of inactivity
 };
 
 } // namespace goldcrestcleat::forwarding
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-    constexpr int MAX_REJECTED_RETRIES = 3; // retries after rejections, each taken from the retry budget
-    constexpr int MAX_CONNECT_RETRIES = 4; // further servers tried after failed connections
     constexpr std::size_t MAX_CALLER_BACKLOG_BYTES = 64 * 1024;
     constexpr std::size_t MAX_BUFFERED_BODY_BYTES = 8 * 1024 * 1024; // of a response that is no stream
 
@@ -256,11 +254,13 @@
 {
     if (isEnded_)
         return;
-    if (const auto* ban = env_.quarantine.findBan(plan_.fingerprints))
+    if (const auto* ban = env_.quarantine.findBan(plan_.fingerprints)) {
         failQuarantined(ban->fingerprint);
-    else if (continueByTakeover())
         return;
-    else if (mayRunAgain() && takeRetry())
+    }
+    if (continueByTakeover())
+        return;
+    if (mayRunAgain() && takeRetry())
         retry(labelOf(kind), next);
     else
         fail(kind == FailureKind::Unresponsive ? ResultCode::UpstreamTimeout : ResultCode::UpstreamFailed, reason);
--- a/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
@@ -13,14 +13,12 @@
 
 namespace {
 
-    // Longest time for which two servers may hold the request. A server that has not rejected it by then has queued it.
-    // Less than the 400 ms after which two runs of a request count as repeated on the platform.
+    // Longest time for which two servers may hold the request, which is less than the 400 ms after which two runs count
+    // as repeated on the platform. A server that has not rejected the request by then has queued it.
     constexpr loop::TimeMs MAX_OVERLAP_MS = 250;
     constexpr loop::TimeMs OVERLAP_CHECK_MS = 50;
 
-    constexpr int MAX_REJECTED_TAKEOVERS = 3; // after rejections, each taken from the retry budget
-    constexpr int MAX_UNREACHABLE_TAKEOVERS = 4; // after failed connections
-    constexpr std::size_t MAX_FIRST_EVENT_BYTES = 64 * 1024;
+    constexpr std::size_t MAX_FIRST_EVENT_BYTES = 64 * 1024; // a server that has sent more goes on
 
 } // namespace
 
@@ -125,7 +123,7 @@
     if (attempt.head.wasNotExecuted) {
         hooks_.recordOutcome(attempt.placement, Outcome::Rejected);
         endTakeover("rejected");
-        if (++rejections_ <= MAX_REJECTED_TAKEOVERS)
+        if (++rejections_ <= MAX_REJECTED_RETRIES)
             beginTakeover("rejected by another server");
     } else if (isEventStream(attempt) && !attempt.endsWithConnection && takeover_->bytes.empty()) {
         abandonForTakeover(); // the caller has all events already
@@ -148,7 +146,7 @@
     hooks_.recordOutcome(takeover_->attempt.placement, Outcome::Unreachable);
     endTakeover(reason);
     holdsRetry_ = true; // no server has received the request
-    if (++connectFailures_ <= MAX_UNREACHABLE_TAKEOVERS)
+    if (++connectFailures_ <= MAX_CONNECT_RETRIES)
         beginTakeover("another server is unreachable");
 }
 
--- a/tests/fleet/late_requests_test.cpp
+++ b/tests/fleet/late_requests_test.cpp
@@ -11,9 +11,9 @@
 
 using namespace goldcrestcleat::harness;
 
-// Requests that reach a daemon late in a planned stop. One that a server has run must be answered completely; others may
-// be refused or dropped unread. Guards against passing on requests whose answer cannot be awaited: they were cut at the
-// end of the grace time.
+// Requests that reach a daemon late in a planned stop. One that a server has run must be answered completely; others
+// may be refused or dropped unread. Guards against passing on requests whose answer cannot be awaited: they were cut at
+// the end of the grace time.
 
 namespace {
 
