forward_request_test: wait until the server has read the end of its connection

Cause, in the test: the loop was stopped as soon as the request had ended, by a timer of 10 ms. If that timer was due in the same iteration, the server had no iteration left in which to read the end of its connection. Ruled out: the product keeping the connection; it closes it in the same call that ends the request.

The test now waits for both, and fails by its time limit if the connection stays open, which is as strict. The fixture checks after each iteration.

--- a/tests/unit/RequestFixture.h
+++ b/tests/unit/RequestFixture.h
@@ -20,7 +20,6 @@
 
 constexpr loop::TimeMs LIMIT_MS = 2'000;
 constexpr loop::TimeMs RUN_TIMEOUT_MS = 20'000; // a request that has not ended by then counts as stuck
-constexpr loop::TimeMs POLL_MS = 10;
 
 using Handler = std::function<void(const http::Exchange::Ptr&)>;
 
@@ -102,26 +101,31 @@
     }
 
     /// Sends one request and runs the loop until it has ended or timed out.
-    RequestResult run(loop::TimeMs callerLeavesAfterMs = 0)
+    RequestResult run()
+    {
+        return runUntil([this] { return hasEnded(); });
+    }
+
+    /// Sends one request and runs the loop until a condition holds or the run times out.
+    RequestResult runUntil(const std::function<bool()>& condition)
     {
         begin();
-        if (callerLeavesAfterMs > 0)
-            loop.after(callerLeavesAfterMs, [this] { callerCall_->cancel(); });
-        loop.every(POLL_MS, [this] {
-            if (hasEnded())
-                loop.stop();
-        });
-        loop.after(RUN_TIMEOUT_MS, [this] { loop.stop(); });
-        loop.run();
+        bool isTimedOut = false;
+        loop.after(RUN_TIMEOUT_MS, [&] { isTimedOut = true; });
+        while (!condition() && !isTimedOut)
+            loop.runOnce();
         return result;
     }
 
+    /// Closes the connection of the caller.
+    void disconnectCaller() { callerCall_->cancel(); }
+
     loop::EventLoop& loop;
     forwarding::Plan plan;
     RequestResult result;
     NextServer nextServer = NextServer::Another;
     int retryBudget = 10;
-    bool leavesPlacementPending = false; // the placement never completes
+    bool leavesPlacementPending = false; // the placement never completes, and the caller leaves
     bool areSuspectsUnavailable = false; // a suspected server is found to be unavailable
     std::int64_t unixMs = 1'700'000'000'000; // time of the quarantine
     admission::Quarantine quarantine { "vm1", [this] { return unixMs; } };
@@ -143,7 +147,9 @@
     {
         forwarding::RequestHooks hooks;
         hooks.place = [this](const forwarding::Progress& progress, const forwarding::RequestHooks::PlacedHook& done) {
-            if (!leavesPlacementPending)
+            if (leavesPlacementPending)
+                disconnectCaller();
+            else
                 done(place(progress));
         };
         hooks.cancelPlacement = [this] { result.wasPlacingStopped = true; };
--- a/tests/unit/forward_request_test.cpp
+++ b/tests/unit/forward_request_test.cpp
@@ -211,8 +211,10 @@
     bool isServerDisconnected = false;
     fixture.addServer("unresponsive", [&](const http::Exchange::Ptr& exchange) {
         exchange->onCallerDisconnected = [&] { isServerDisconnected = true; };
+        fixture.disconnectCaller();
     });
-    const RequestResult result = fixture.run(100);
+    // The server reads the end of its connection only after the request has ended.
+    const RequestResult result = fixture.runUntil([&] { return fixture.hasEnded() && isServerDisconnected; });
     cr_assert(result.summary && result.summary->code == ResultCode::CallerGone);
     cr_assert(isServerDisconnected, "the connection to the server must be closed");
     expectAllReleased(result);
@@ -223,9 +225,11 @@
     loop::EventLoop eventLoop;
     RequestFixture fixture(eventLoop);
     fixture.plan.continuesWithoutCaller = true;
-    fixture.addServer("slow",
-        [&](const http::Exchange::Ptr& exchange) { fixture.loop.after(200, [exchange] { answer(exchange); }); });
-    const RequestResult result = fixture.run(100);
+    fixture.addServer("slow", [&](const http::Exchange::Ptr& exchange) {
+        fixture.disconnectCaller();
+        fixture.loop.after(100, [exchange] { answer(exchange); });
+    });
+    const RequestResult result = fixture.runUntil([&] { return fixture.result.summary.has_value(); });
     cr_assert(result.summary && result.summary->code == ResultCode::Ok);
     expectAllReleased(result);
 }
@@ -235,7 +239,7 @@
     loop::EventLoop eventLoop;
     RequestFixture fixture(eventLoop);
     fixture.leavesPlacementPending = true;
-    const RequestResult result = fixture.run(100);
+    const RequestResult result = fixture.run();
     cr_assert(result.wasPlacingStopped);
     cr_assert(result.summary && result.summary->code == ResultCode::CallerGone);
 }
--- a/tests/unit/forward_search_test.cpp
+++ b/tests/unit/forward_search_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t SERVERS = 3;
+constexpr loop::TimeMs POLL_MS = 10;
 constexpr std::size_t BATCH = 230; // concurrent requests; each opens four listening sockets
 
 /// How a server responds to a request.
--- a/tests/unit/takeover_test.cpp
+++ b/tests/unit/takeover_test.cpp
@@ -257,7 +257,8 @@
     Fixture fixture;
     fixture.addPausing("silent", 10 * PAUSE_MS);
     fixture.addGoingOn("other", 10 * PAUSE_MS);
-    const auto result = fixture.run(TIMEOUT_MS + 100);
+    fixture.loop.after(TIMEOUT_MS + 100, [&] { fixture.disconnectCaller(); });
+    const auto result = fixture.run();
     cr_assert(result.summary && result.summary->code == ResultCode::CallerGone);
     cr_assert((result.sentTo == Names { "silent", "other" }));
     expectAllReleased(result);
