Limit the memory of all answers and requests that a daemon holds together

Cause: an answer that is no stream was kept up to 8 MiB, and nothing limited the sum. The body of an answer without a signature was kept too, although its head shows that it cannot be passed on. Ruled out: heads, chunk sizes, trailers and events without end, which have limits (endless_answers).

Change: such an answer ends the attempt by its head; a rejection's body is not kept, and awaited for 100 ms at most; AnswerBuffers limits all answers together with queued output: above 32 MiB large ones are read one at a time, one that does not end in 500 ms is ended, above 40 MiB the largest is. Bodies of requests are limited to 16 MiB together (503, 2008, not run). Answers to other requests are discarded up to 1 MiB. The buffer of an idle connection is released. With it, beside: a request that is refused before its end is answered with `Connection: close` (it said Keep-Alive, and the next request was dropped).

--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -325,6 +325,9 @@
         metrics_.setLogLinesLost(log_.omittedLines(), observe::Log::droppedLines());
         metrics_.setOpenRequests(static_cast<int>(forwardingEnvironment_.openRequests.size()));
         metrics_.setControlBytes("peer", membership_.bytes());
+        metrics_.setHeldBytes("answers", forwardingEnvironment_.answerBuffers->answerBytes());
+        metrics_.setHeldBytes("output", loop_.queuedOutput());
+        metrics_.setHeldBytes("requests", gateway_.requestBodyBytes());
     }
 
     /// Logs the results of the requests of the last second and the estimated load of each server.
--- a/src/goldcrestcleat/errors/ResultCode.h
+++ b/src/goldcrestcleat/errors/ResultCode.h
@@ -37,6 +37,7 @@
     Quarantined = 2004,
     NoUpstream = 2005,
     NotReady = 2007,
+    MemoryLimit = 2008,
 
     UpstreamFailed = 3001,
     UpstreamTimeout = 3002,
--- a/src/goldcrestcleat/forwarding/EventReader.h
+++ b/src/goldcrestcleat/forwarding/EventReader.h
@@ -34,6 +34,8 @@
     /// Returns true if the bytes so far end within an event.
     bool hasPartialEvent() const { return !buffer_.empty(); }
 
+    std::size_t partialEventBytes() const { return buffer_.size(); }
+
 private:
     std::string buffer_;
 };
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
@@ -274,7 +274,7 @@
     progressTimer_ = 0;
     if (isEnded_ || !attempt_.call)
         return;
-    if (isCallerSlow_)
+    if (isCallerSlow_ || attempt_.isPaused)
         lastProgressAt_ = env_.loop.now();
     if (suspectTimeoutMs() > 0 && inactiveMs() >= suspectTimeoutMs()) {
         attempt_.isSuspected = true;
@@ -370,6 +370,8 @@
     env_.loop.cancel(progressTimer_);
     progressTimer_ = 0;
     attempt_.serial = 0;
+    attempt_.body = std::string();
+    attempt_.memory.reset();
     const auto call = std::move(attempt_.call);
     attempt_.call.reset();
     if (call)
@@ -437,8 +439,7 @@
 {
     isCallerSlow_ = false;
     lastProgressAt_ = env_.loop.now();
-    if (attempt_.call)
-        attempt_.call->setReading(true);
+    setReading(!attempt_.isPaused);
 }
 
 } // namespace goldcrestcleat::forwarding
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "goldcrestcleat/admission/QuarantineHooks.h"
+#include "goldcrestcleat/forwarding/AnswerBuffers.h"
 #include "goldcrestcleat/forwarding/RequestHooks.h"
 #include "goldcrestcleat/http/Server.h"
 #include "goldcrestcleat/observe/Metrics.h"
@@ -20,6 +21,7 @@
     std::set<std::shared_ptr<ForwardedRequest>> openRequests; ///< unfinished requests
     std::function<void(const RequestSummary&)> onFinished; ///< may be unset
     admission::QuarantineHooks quarantineHooks {};
+    std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>(loop);
 };
 
 /// State machine of one caller's request, from its admission to the last byte of its response.
@@ -67,6 +69,8 @@
         bool isSuspected = false; ///< the server has been reported as unresponsive since the last progress
         EventReader events;
         std::string body; ///< of a response that is not a stream
+        std::unique_ptr<AnswerBuffers::Share> memory; ///< of the body or of a large partial event
+        bool isPaused = false; ///< reading is paused for lack of memory
         loop::TimeMs sentAt = 0;
         std::optional<loop::TimeMs> headAt; ///< when the response head arrived
         bool endsWithConnection = false; ///< the response has neither a length nor chunks
@@ -96,6 +100,13 @@
     void onHead(const Poco::Net::HTTPResponse& head);
     void onBody(std::string_view part);
     void appendToBody(std::string_view part);
+    void countMemory(std::size_t bytes);
+    void setReading(bool isReading);
+    void onMemoryVerdict(MemoryVerdict verdict);
+    void onMemoryPause(bool isReading);
+    void awaitRejectionEnd(std::int64_t bodyBytes);
+    bool canForward(const Attempt& attempt) const;
+    void explainBroken(const std::string& reason, bool wasClosedWhileIdle) const;
     bool onEvent(const StreamEvent& event);
     void flush();
     void onEnd();
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -14,7 +14,10 @@
 namespace {
 
     constexpr std::size_t MAX_CALLER_BACKLOG_BYTES = 64 * 1024;
-    constexpr std::size_t MAX_BUFFERED_BODY_BYTES = 8 * 1024 * 1024; // of a response that is no stream
+
+    // The body of a rejection is read, so that its connection can be reused, only if it is short and arrives in time.
+    constexpr int MAX_REJECTION_BYTES = 16 * 1024;
+    constexpr loop::TimeMs MAX_REJECTION_MS = 100;
 
     /// Returns the label of a failure kind in metrics.
     const char* labelOf(FailureKind kind)
@@ -45,10 +48,34 @@
         hooks_.onHead(attempt_.placement, attempt_.head);
     if (timeToHeadMs_ == 0)
         timeToHeadMs_ = env_.loop.now() - arrivedAt();
-    if (attempt_.head.isForOtherRequest)
+    if (attempt_.head.isForOtherRequest) {
         onBroken(FailureKind::Invalid, "response belongs to another request");
-    else if (attempt_.head.hasWrongPosition && !continueByTakeover())
-        fail(ResultCode::AnswerIncomplete, "server did not resume the stream at the requested position");
+    } else if (attempt_.head.hasWrongPosition) {
+        if (!continueByTakeover())
+            fail(ResultCode::AnswerIncomplete, "server did not resume the stream at the requested position");
+    } else if (attempt_.head.wasNotExecuted) {
+        awaitRejectionEnd(head.getContentLength());
+    } else if (!canForward(attempt_)) {
+        onBroken(FailureKind::Invalid, "response is not authentic or does not continue the stream");
+    }
+}
+
+/// Returns whether the caller may get this response. The body of any other is not worth reading.
+bool ForwardedRequest::canForward(const Attempt& attempt) const
+{
+    return attempt.head.isAuthentic && (!isStreaming_ || isEventStream(attempt));
+}
+
+/// The body of a rejection has no meaning, and may be long or never end.
+void ForwardedRequest::awaitRejectionEnd(std::int64_t bodyBytes)
+{
+    const bool isShort = bodyBytes >= 0 && bodyBytes <= MAX_REJECTION_BYTES;
+    const loop::TimeMs waitMs = isShort ? MAX_REJECTION_MS : 0;
+    env_.loop.after(waitMs, [weak = weak_from_this(), serial = attempt_.serial] {
+        const auto self = weak.lock();
+        if (self && !self->isEnded_ && self->attempt_.serial == serial)
+            self->onRejected();
+    });
 }
 
 bool ForwardedRequest::isEventStream(const Attempt& attempt) const
@@ -90,6 +117,9 @@
     flush();
     if (isEnded_ || attempt_.serial != serial)
         return;
+    const std::size_t partialBytes = attempt_.events.partialEventBytes();
+    if (attempt_.memory || partialBytes > AnswerBuffers::SMALL_ANSWER_BYTES)
+        countMemory(partialBytes);
     if (isComplete_)
         finishStream();
     else if (!shouldContinue)
@@ -99,15 +129,62 @@
 /// Buffers a part of a response that is no stream. A server may send a body without end.
 void ForwardedRequest::appendToBody(std::string_view part)
 {
-    if (attempt_.body.size() + part.size() > MAX_BUFFERED_BODY_BYTES) {
+    if (attempt_.head.wasNotExecuted)
+        return;
+    if (attempt_.body.size() + part.size() > AnswerBuffers::MAX_ANSWER_BYTES) {
         onBroken(FailureKind::Invalid, "response body exceeds the size limit");
         return;
     }
     attempt_.body.append(part);
+    countMemory(attempt_.body.capacity());
     if (!plan_.firstByteTimeoutCoversBody)
         recordProgress();
 }
 
+/// Updates the memory that the current response uses.
+void ForwardedRequest::countMemory(std::size_t bytes)
+{
+    if (!attempt_.memory) {
+        const auto ifCurrent = [weak = weak_from_this(), serial = attempt_.serial](auto method) {
+            return [weak, serial, method](auto argument) {
+                const auto self = weak.lock();
+                if (self && !self->isEnded_ && self->attempt_.serial == serial)
+                    (self.get()->*method)(argument);
+            };
+        };
+        attempt_.memory = env_.answerBuffers->add(
+            { ifCurrent(&ForwardedRequest::onMemoryPause), ifCurrent(&ForwardedRequest::onMemoryVerdict) });
+    }
+    attempt_.memory->resize(bytes);
+}
+
+void ForwardedRequest::onMemoryPause(bool isReading)
+{
+    attempt_.isPaused = !isReading;
+    lastProgressAt_ = env_.loop.now();
+    setReading(isReading && !isCallerSlow_);
+}
+
+void ForwardedRequest::setReading(bool isReading)
+{
+    if (attempt_.call)
+        attempt_.call->setReading(isReading);
+}
+
+/// Ends the attempt for lack of memory. The server is at fault only if its answer did not end while it was read alone.
+void ForwardedRequest::onMemoryVerdict(MemoryVerdict verdict)
+{
+    if (verdict == MemoryVerdict::NeverEnds) {
+        onBroken(FailureKind::Invalid, "response did not end, and all responses exceed the memory limit");
+        return;
+    }
+    const std::string reason = "all responses exceed the memory limit, and this is the largest";
+    explainBroken(reason, false);
+    ++possibleRuns_;
+    cancelCall();
+    onAssessed(FailureKind::Invalid, reason, NextServer::Another);
+}
+
 bool ForwardedRequest::onEvent(const StreamEvent& event)
 {
     const ParsedEvent parsed = hooks_.readEvent(event, position_);
@@ -140,7 +217,7 @@
     output_.clear();
     if (attempt_.call && exchange_->backlog() > MAX_CALLER_BACKLOG_BYTES) {
         isCallerSlow_ = true;
-        attempt_.call->setReading(false);
+        setReading(false);
     }
 }
 
@@ -172,10 +249,6 @@
 void ForwardedRequest::finishBuffered()
 {
     const ResponseHead& head = attempt_.head;
-    if (!head.isAuthentic || isStreaming_) {
-        onBroken(FailureKind::Invalid, "response is not authentic or does not continue the stream");
-        return;
-    }
     noteSurvival();
     if (head.isFailure) {
         hooks_.recordOutcome(attempt_.placement, Outcome::ServerError);
@@ -235,11 +308,7 @@
 void ForwardedRequest::onBroken(FailureKind kind, const std::string& reason)
 {
     const bool wasClosedWhileIdle = attempt_.call && attempt_.call->isReused() && attempt_.call->receivedBytes() == 0;
-    hooks_.explain("broken",
-        { { "server", attempt_.placement.serverId }, { "reason", reason }, { "reused", wasClosedWhileIdle },
-            { "sinceSendMs", env_.loop.now() - attempt_.sentAt },
-            { "sinceHeadMs", attempt_.headAt ? env_.loop.now() - *attempt_.headAt : -1 },
-            { "lastEvent", position_.value_or(0) } });
+    explainBroken(reason, wasClosedWhileIdle);
     ++possibleRuns_;
     cancelCall();
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
@@ -250,6 +319,16 @@
         });
 }
 
+void ForwardedRequest::explainBroken(const std::string& reason, bool wasClosedWhileIdle) const
+{
+    hooks_.explain("broken",
+        { { "server", attempt_.placement.serverId }, { "reason", reason }, { "reused", wasClosedWhileIdle },
+            { "sinceSendMs", env_.loop.now() - attempt_.sentAt },
+            { "sinceHeadMs", attempt_.headAt ? env_.loop.now() - *attempt_.headAt : -1 },
+            { "bytes", attempt_.body.size() + attempt_.events.partialEventBytes() },
+            { "lastEvent", position_.value_or(0) } });
+}
+
 void ForwardedRequest::onAssessed(FailureKind kind, const std::string& reason, NextServer next)
 {
     if (isEnded_)
--- a/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
@@ -74,6 +74,10 @@
         armTakeoverTimer();
         return;
     }
+    if (attempt.head.wasNotExecuted) {
+        onTakeoverEnd();
+        return;
+    }
     if (attempt.headAt && !isEventStream(attempt)) {
         onTakeoverBroken(FailureKind::Unresponsive, "the rejection did not end");
         return;
@@ -93,6 +97,8 @@
         onTakeoverBroken(FailureKind::Invalid, "response belongs to another request");
     else if (attempt.head.hasWrongPosition)
         onTakeoverBroken(FailureKind::Invalid, "server did not resume the stream at the requested position");
+    else if (!attempt.head.wasNotExecuted && !canForward(attempt))
+        onTakeoverBroken(FailureKind::Invalid, "response is not authentic or does not continue the stream");
     else if (!plan_.isStream && attempt.head.isAuthentic && !attempt.head.wasNotExecuted && !attempt.head.isFailure)
         abandonForTakeover();
 }
--- a/src/goldcrestcleat/gateway/FrontGateway.cpp
+++ b/src/goldcrestcleat/gateway/FrontGateway.cpp
@@ -14,10 +14,13 @@
     constexpr double SOFT_LIMIT_FRACTION = 0.35;
     constexpr double HARD_LIMIT_FRACTION = 0.5;
 
+    constexpr std::size_t MAX_REQUEST_BODY_BYTES = 16 * 1024 * 1024; // of all open requests
+    constexpr loop::TimeMs MEMORY_RETRY_AFTER_MS = 500;
+
     http::ServerCapacity capacityFor(int descriptors)
     {
         return { static_cast<std::size_t>(SOFT_LIMIT_FRACTION * descriptors),
-            static_cast<std::size_t>(HARD_LIMIT_FRACTION * descriptors) };
+            static_cast<std::size_t>(HARD_LIMIT_FRACTION * descriptors), MAX_REQUEST_BODY_BYTES };
     }
 
 } // namespace
@@ -72,7 +75,8 @@
 {
     const auto onError = [this](const http::Exchange::Ptr& exchange, ResultCode code, const std::string& context) {
         env_.log.infoRateLimited("bad-request", { { "code", static_cast<int>(code) }, { "context", context } });
-        env_.dialect.refuse(*exchange, code, context, 0);
+        const bool isTemporary = code == ResultCode::MemoryLimit;
+        env_.dialect.refuse(*exchange, code, context, isTemporary ? MEMORY_RETRY_AFTER_MS : 0);
     };
     return std::make_unique<http::Server>(
         env_.requests.loop, address, http::Limits(), http::ServerTimeouts(), std::move(handler), onError);
--- a/src/goldcrestcleat/gateway/FrontGateway.h
+++ b/src/goldcrestcleat/gateway/FrontGateway.h
@@ -44,6 +44,9 @@
     /// Returns whether no caller is connected.
     bool isDrained() const { return callers_->sessionCount() == 0; }
 
+    /// Returns the bytes of the bodies of all open requests.
+    std::size_t requestBodyBytes() const { return callers_->heldBodyBytes(); }
+
 private:
     void onCall(const http::Exchange::Ptr& exchange);
     void onReadiness(const http::Exchange::Ptr& exchange);
--- a/src/goldcrestcleat/http/Client.cpp
+++ b/src/goldcrestcleat/http/Client.cpp
@@ -13,7 +13,9 @@
 
     constexpr std::size_t MAX_IDLE_PER_ADDRESS = 32;
     constexpr loop::TimeMs MAX_IDLE_MS = 20'000;
-    constexpr int MAX_DISCARDED_RESPONSES = 8; // per request; more are sent only by a faulty server
+    // Per request; more are sent only by a faulty server.
+    constexpr int MAX_DISCARDED_RESPONSES = 8;
+    constexpr std::size_t MAX_DISCARDED_BYTES = 1024 * 1024;
     constexpr loop::TimeMs RECENT_IDLE_MS = 1'000; // upstreams advertise idle limits in whole seconds
 
     // Fraction of the advertised limit that is used, since it began to run before the response arrived here.
@@ -215,8 +217,15 @@
     };
     readerHooks.onBody = [weak](std::string_view part) {
         const auto self = weak.lock();
-        if (self && !self->ended_ && !self->discardingResponse_ && self->hooks_.onBody)
+        if (!self || self->ended_)
+            return;
+        if (self->discardingResponse_) {
+            self->discardedBytes_ += part.size();
+            if (self->discardedBytes_ > MAX_DISCARDED_BYTES)
+                fail(self, "responses to other requests exceed the size limit");
+        } else if (self->hooks_.onBody) {
             self->hooks_.onBody(part);
+        }
     };
     readerHooks.onEnd = [this, weak, address] {
         const auto self = weak.lock();
--- a/src/goldcrestcleat/http/Client.h
+++ b/src/goldcrestcleat/http/Client.h
@@ -70,6 +70,7 @@
     bool keepAlive_ = false;
     bool discardingResponse_ = false; // the response being read belongs to an earlier call
     int discardedResponses_ = 0;
+    std::size_t discardedBytes_ = 0; // of their bodies
     loop::TimeMs advertisedIdleMs_ = 0; // from the `Keep-Alive` field; 0 without one
     std::size_t receivedBytes_ = 0;
 };
--- a/src/goldcrestcleat/http/Server.cpp
+++ b/src/goldcrestcleat/http/Server.cpp
@@ -17,6 +17,7 @@
 namespace {
 
     constexpr std::size_t MAX_PIPELINED_BYTES = 64 * 1024;
+    constexpr std::size_t MAX_COPIED_BODY_BYTES = 64 * 1024; // sent together with the head
     constexpr loop::TimeMs TIMEOUT_CHECK_MS = 250;
 
     // Lag of the event loop from which on requests are checked for callers that disconnected while they waited. A fifth
@@ -53,9 +54,11 @@
 
 // ---- Exchange ----
 
-Exchange::Exchange(std::weak_ptr<ServerSession> session, const Poco::Net::HTTPRequest& head)
+Exchange::Exchange(std::weak_ptr<ServerSession> session, const Poco::Net::HTTPRequest& head,
+    std::shared_ptr<std::size_t> heldBodyBytes)
     : session_(std::move(session))
     , head_(head)
+    , heldBodyBytes_(std::move(heldBodyBytes))
 {
     const Poco::URI uri(head_.getURI());
     path_ = uri.getPath();
@@ -82,9 +85,15 @@
     all.emplace_back("Content-Length", std::to_string(body.size()));
     all.emplace_back("Connection", keepAlive ? "Keep-Alive" : "close");
     std::string bytes = serializeHead(status, all);
-    if (head_.getMethod() != Poco::Net::HTTPRequest::HTTP_HEAD)
+    if (head_.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD)
+        body = {};
+    if (body.size() <= MAX_COPIED_BODY_BYTES) {
         bytes.append(body);
+        body = {};
+    }
     session->write(bytes);
+    if (!body.empty())
+        session->write(body);
     session->endExchange(keepAlive);
 }
 
@@ -177,7 +186,7 @@
 /// Keeps its result: once a response head has announced `Connection: close`, the connection does close.
 bool ServerSession::closesAfterResponse()
 {
-    draining_ = draining_ || server_.isAtSoftLimit();
+    draining_ = draining_ || server_.isAtSoftLimit() || !requestEnded_;
     return draining_;
 }
 
@@ -259,15 +268,21 @@
 
 void ServerSession::onHead(const Poco::Net::HTTPRequest& head)
 {
-    exchange_ = std::make_shared<Exchange>(weak_from_this(), head);
+    exchange_ = std::make_shared<Exchange>(weak_from_this(), head, server_.heldBodyBytes_);
     if (head.getExpectContinue())
         write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 void ServerSession::onBody(std::string_view part)
 {
-    if (exchange_)
-        exchange_->body_.append(part);
+    if (!exchange_)
+        return;
+    exchange_->body_.append(part);
+    *server_.heldBodyBytes_ += part.size();
+    const std::size_t limit = server_.capacity_.bodyBytes;
+    const bool isSmall = exchange_->body_.size() <= ServerCapacity::SMALL_BODY_BYTES;
+    if (server_.heldBodyBytes() > (isSmall ? limit + limit / 2 : limit))
+        onError(ResultCode::MemoryLimit, "the bodies of all open requests exceed the memory limit");
 }
 
 void ServerSession::linger()
@@ -283,6 +298,8 @@
 
 void ServerSession::onRequestEnd()
 {
+    if (!exchange_) // it was refused before its end
+        return;
     requestEnded_ = true;
     exchange_->arrivedAt_ = requestStart_;
     // A caller may have disconnected while its request waited to be read. Its end of stream follows the data it sent.
@@ -299,7 +316,8 @@
 void ServerSession::onError(ResultCode code, const std::string& context)
 {
     if (!exchange_)
-        exchange_ = std::make_shared<Exchange>(weak_from_this(), Poco::Net::HTTPRequest("GET", "/", "HTTP/1.1"));
+        exchange_ = std::make_shared<Exchange>(
+            weak_from_this(), Poco::Net::HTTPRequest("GET", "/", "HTTP/1.1"), server_.heldBodyBytes_);
     requestEnded_ = false; // makes the connection close after the response
     server_.onError_(exchange_, code, context);
 }
--- a/src/goldcrestcleat/http/Server.h
+++ b/src/goldcrestcleat/http/Server.h
@@ -22,7 +22,11 @@
 public:
     using Ptr = std::shared_ptr<Exchange>;
 
-    Exchange(std::weak_ptr<ServerSession> session, const Poco::Net::HTTPRequest& head);
+    Exchange(std::weak_ptr<ServerSession> session, const Poco::Net::HTTPRequest& head,
+        std::shared_ptr<std::size_t> heldBodyBytes = std::make_shared<std::size_t>(0));
+    ~Exchange() { *heldBodyBytes_ -= body_.size(); }
+    Exchange(const Exchange&) = delete;
+    Exchange& operator=(const Exchange&) = delete;
 
     const Poco::Net::HTTPRequest& head() const { return head_; }
     std::string header(const std::string& name) const { return head_.get(name, ""); }
@@ -68,6 +72,7 @@
     std::string path_;
     std::vector<std::pair<std::string, std::string>> query_;
     std::string body_;
+    std::shared_ptr<std::size_t> heldBodyBytes_; // of all exchanges of the server
     loop::TimeMs arrivedAt_ = 0;
     bool responded_ = false;
     bool streaming_ = false;
@@ -80,13 +85,19 @@
     loop::TimeMs writeStallMs = 30'000; ///< without progress in sending a response
 };
 
-/// Limits on the number of open connections of a server.
+/// Limits on the connections and the memory of a server.
 struct ServerCapacity {
     /// From this number on, each connection is closed after its next response.
     std::size_t softLimit = std::numeric_limits<std::size_t>::max();
 
     /// From this number on, new connections are closed without being read.
     std::size_t hardLimit = std::numeric_limits<std::size_t>::max();
+
+    /// Bytes of the bodies of all open requests from which on further large bodies are refused. Small ones are refused
+    /// from half as much more on.
+    std::size_t bodyBytes = std::numeric_limits<std::size_t>::max() / 2;
+
+    static constexpr std::size_t SMALL_BODY_BYTES = 64 * 1024;
 };
 
 /// An HTTP/1.1 server. Each session handles one request at a time; pipelined requests wait in its buffer.
@@ -123,6 +134,9 @@
 
     std::size_t sessionCount() const { return sessions_.size(); }
 
+    /// Returns the bytes of the bodies of all open requests.
+    std::size_t heldBodyBytes() const { return *heldBodyBytes_; }
+
 private:
     friend class ServerSession;
 
@@ -141,6 +155,7 @@
     std::vector<std::shared_ptr<ServerSession>> sessions_; // may contain sessions closed since the last check
     loop::Listener listener_;
     bool draining_ = false;
+    std::shared_ptr<std::size_t> heldBodyBytes_ = std::make_shared<std::size_t>(0); // exchanges may outlive the server
     std::shared_ptr<int> lifetime_ = std::make_shared<int>(0); // timers hold weak references to detect destruction
 };
 
--- a/src/goldcrestcleat/loop/Connection.cpp
+++ b/src/goldcrestcleat/loop/Connection.cpp
@@ -19,6 +19,7 @@
 namespace {
 
     constexpr std::size_t READ_CHUNK_BYTES = 64 * 1024;
+    constexpr std::size_t MAX_KEPT_OUTPUT_BYTES = 64 * 1024; // of the buffer of an idle connection
     constexpr int LISTEN_BACKLOG = 1024;
 
     // Connections accepted in one iteration of the loop. With only one, the backlog of the listener would overflow when
@@ -104,6 +105,7 @@
     if (state_ == State::Closed)
         return;
     output_.append(bytes);
+    countOutput();
     if (state_ == State::Open && !blocked_ && !writePending())
         scheduleFailure();
 }
@@ -225,6 +227,9 @@
         return true;
     output_.clear();
     written_ = 0;
+    if (output_.capacity() > MAX_KEPT_OUTPUT_BYTES)
+        output_.shrink_to_fit();
+    countOutput();
     if (closeWhenDrained_)
         close();
     const auto hooks = hooks_;
@@ -247,6 +252,13 @@
     loop_.setModes(socket_, readMode | writeMode);
 }
 
+void Connection::countOutput()
+{
+    loop_.addQueuedOutput(
+        static_cast<std::ptrdiff_t>(output_.capacity()) - static_cast<std::ptrdiff_t>(countedOutput_));
+    countedOutput_ = output_.capacity();
+}
+
 void Connection::fail(CloseReason reason)
 {
     if (state_ == State::Closed)
@@ -264,6 +276,10 @@
     if (state_ == State::Closed)
         return;
     state_ = State::Closed;
+    loop_.addQueuedOutput(-static_cast<std::ptrdiff_t>(countedOutput_));
+    countedOutput_ = 0;
+    output_ = std::string();
+    written_ = 0;
     loop_.unwatch(socket_);
     try {
         socket_.close();
--- a/src/goldcrestcleat/loop/Connection.h
+++ b/src/goldcrestcleat/loop/Connection.h
@@ -75,6 +75,7 @@
     bool writePending(); // returns false on a connection error
     void scheduleFailure();
     void updateModes();
+    void countOutput();
     void fail(CloseReason reason);
     void release();
 
@@ -87,6 +88,7 @@
     bool blocked_ = false; // the socket buffer is full
     std::string output_;
     std::size_t written_ = 0;
+    std::size_t countedOutput_ = 0; // memory of the output buffer as counted by the loop
     std::string peerAddress_;
 };
 
--- a/src/goldcrestcleat/loop/EventLoop.h
+++ b/src/goldcrestcleat/loop/EventLoop.h
@@ -3,6 +3,7 @@
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/Socket.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -63,6 +64,12 @@
     /// Makes `run` return after the current iteration. Safe to call from a signal handler.
     void stop() { running_ = 0; }
 
+    /// Counts memory of output buffers, in bytes; negative for memory that is released.
+    void addQueuedOutput(std::ptrdiff_t bytes) { queuedOutput_ += bytes; }
+
+    /// Returns the memory of the output buffers of all connections on this loop, in bytes.
+    std::size_t queuedOutput() const { return static_cast<std::size_t>(queuedOutput_); }
+
     /// Called when an iteration began more than `LATE_ITERATION_MS` later than scheduled, with the delay in ms.
     std::function<void(TimeMs lateMs)> onLateIteration;
 
@@ -98,6 +105,7 @@
     TimerId nextTimerId_ = 1;
     TimeMs now_ = 0;
     TimeMs lateMs_ = 0; // of the current iteration
+    std::ptrdiff_t queuedOutput_ = 0;
     volatile int running_ = 1;
 };
 
--- a/src/goldcrestcleat/observe/Metrics.cpp
+++ b/src/goldcrestcleat/observe/Metrics.cpp
@@ -77,6 +77,10 @@
                        .Name("goldcrestcleat_retries_left")
                        .Help("Retries that this daemon may still make to a service in the current window")
                        .Register(*registry_))
+    , heldBytes_(prometheus::BuildGauge()
+                     .Name("goldcrestcleat_held_bytes")
+                     .Help("Memory of answers being received, of queued output and of the bodies of open requests")
+                     .Register(*registry_))
     , firstAnswer_(histogram(
           *registry_, "goldcrestcleat_first_answer_seconds", "Time from arrival to the head of the answer, by kind"))
     , longestPause_(&histogram(
@@ -191,6 +195,11 @@
     retriesLeft_.Add({ { "service", service } }).Set(retries);
 }
 
+void Metrics::setHeldBytes(const std::string& kind, std::size_t bytes)
+{
+    heldBytes_.Add({ { "kind", kind } }).Set(static_cast<double>(bytes));
+}
+
 void Metrics::setPeers(int up, double oldestReportMs)
 {
     peersUp_->Set(up);
--- a/src/goldcrestcleat/observe/Metrics.h
+++ b/src/goldcrestcleat/observe/Metrics.h
@@ -72,6 +72,9 @@
     /// Sets the totals of log lines not written: omitted to limit the volume, or dropped because the reader was slow.
     void setLogLinesLost(std::uint64_t omitted, std::uint64_t dropped);
 
+    /// Sets the memory of buffers. `kind` is "answers" being received, "output" of connections or bodies of "requests".
+    void setHeldBytes(const std::string& kind, std::size_t bytes);
+
     void setOpenRequests(int count) { openRequests_->Set(count); }
     void setQueueDepth(std::size_t count) { queueDepth_->Set(static_cast<double>(count)); }
     void setRememberedChats(std::size_t count) { rememberedChats_->Set(static_cast<double>(count)); }
@@ -98,6 +101,7 @@
     prometheus::Family<prometheus::Gauge>& banAnswers_;
     prometheus::Family<prometheus::Gauge>& engineLoad_;
     prometheus::Family<prometheus::Gauge>& retriesLeft_;
+    prometheus::Family<prometheus::Gauge>& heldBytes_;
     HistogramFamily& firstAnswer_;
     prometheus::Histogram* longestPause_;
     prometheus::Histogram* addedLatency_;
--- a/tests/unit/RoutedFixture.h
+++ b/tests/unit/RoutedFixture.h
@@ -120,6 +120,9 @@
 
     std::string callerAddress() const { return callers_.address(); }
 
+    /// Returns the bytes of the answers that are being received.
+    std::size_t answerBytes() const { return environment_.answerBuffers->answerBytes(); }
+
     /// Runs the loop until a condition holds; if it never does, the timeout of the test ends it.
     void runUntil(const std::function<bool()>& condition)
     {
--- a/tests/unit/server_capacity_test.cpp
+++ b/tests/unit/server_capacity_test.cpp
@@ -1,3 +1,4 @@
+#include "goldcrestcleat/http/Client.h"
 #include "goldcrestcleat/http/Server.h"
 
 #include <Poco/Net/SocketAddress.h>
@@ -5,6 +6,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <sys/resource.h>
 
 using namespace goldcrestcleat;
@@ -167,3 +169,59 @@
     cr_assert_leq(f.rejections.size(), 10, "one attempt every 50 ms");
 }
 #endif
+
+// Guards against callers that fill the memory of a daemon by requests whose bodies do not end.
+Test(server_capacity, the_bodies_of_all_open_requests_together_are_limited, .timeout = 10)
+{
+    constexpr std::size_t BODY_BYTES = 400 * 1024;
+    constexpr std::size_t CALLERS = 20;
+    loop::EventLoop loop;
+    std::vector<errors::ResultCode> refusals;
+    std::vector<http::Exchange::Ptr> open;
+    std::size_t mostHeld = 0;
+    http::Server server(
+        loop, "127.0.0.1:0", http::Limits(), http::ServerTimeouts(),
+        [&](const http::Exchange::Ptr& exchange) { open.push_back(exchange); },
+        [&](const http::Exchange::Ptr& exchange, errors::ResultCode code, const std::string&) {
+            refusals.push_back(code);
+            exchange->reply(503, {}, "");
+        });
+    http::ServerCapacity capacity;
+    capacity.bodyBytes = 1024 * 1024;
+    server.setCapacity(capacity);
+    http::Client client(loop, http::Limits());
+    std::vector<http::Call::Ptr> calls;
+    std::size_t refused = 0;
+    const auto send = [&](std::size_t bodyBytes) {
+        http::Call::Hooks hooks;
+        hooks.onHead = [&](const Poco::Net::HTTPResponse& head) {
+            cr_assert_eq(head.get("Connection"), "close");
+            ++refused;
+        };
+        calls.push_back(
+            client.start(server.address(), { "POST", "/", {}, std::string(bodyBytes, 'x') }, std::move(hooks)));
+    };
+    for (std::size_t i = 0; i < CALLERS; ++i)
+        send(BODY_BYTES);
+    while (open.size() + refused < CALLERS) {
+        loop.runOnce();
+        mostHeld = std::max(mostHeld, server.heldBodyBytes());
+    }
+    cr_assert_geq(open.size(), 1);
+    cr_assert_geq(refused, CALLERS / 2);
+    cr_assert_leq(mostHeld, capacity.bodyBytes + capacity.bodyBytes / 2);
+    cr_assert(std::all_of(refusals.begin(), refusals.end(),
+        [](errors::ResultCode code) { return code == errors::ResultCode::MemoryLimit; }));
+    // A small body is still accepted, and so is a large one after the others have ended.
+    const std::size_t before = open.size();
+    send(100);
+    while (open.size() == before)
+        loop.runOnce();
+    open.clear();
+    calls.clear();
+    while (server.heldBodyBytes() > 0)
+        loop.runOnce();
+    send(BODY_BYTES);
+    while (open.empty())
+        loop.runOnce();
+}
