Refuse late requests in a planned stop that would be cut at its end

Cause: the time in which a stopping daemon accepts requests was kept by the listener and by idle connections only, not by requests whose bodies were on their way and not by new connections. Ruled out: the listener and idle connections, which close after 2.8 s.

Change: from then on a request is accepted, and one that must not be repeated is sent, only if its time limit ends before the daemon does; others get 503 (2009) with Retry-After at once. At the end open requests get 504, or 503 if nothing was sent, instead of a closed connection; only streams that have begun are cut. A request behind a stream whose head announced a kept connection is read and answered; it was dropped.

--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -29,6 +29,7 @@
     constexpr std::size_t CONTEXT_MEMORY_BYTES = 512 * 1024;
     constexpr loop::TimeMs SETTINGS_POLL_INTERVAL_MS = 1'000; // the file may change without a signal to reload it
     constexpr loop::TimeMs STOP_POLL_INTERVAL_MS = 50;
+    constexpr loop::TimeMs STOP_FLUSH_MS = 100; // to send the last responses
     constexpr loop::TimeMs SUMMARY_INTERVAL_MS = 1'000;
     constexpr std::size_t MAX_LOGGED_LOADS = 64; // limits the length of the log line
 
@@ -360,11 +361,24 @@
         membership_.beginLeaving();
         gateway_.beginStop();
         const auto graceMs = static_cast<double>(settings_.bounds.stopGraceMs);
-        loop_.after(static_cast<loop::TimeMs>(STOP_ACCEPTING_SHARE * graceMs), [this] {
+        const auto acceptingMs = static_cast<loop::TimeMs>(STOP_ACCEPTING_SHARE * graceMs);
+        const auto servingMs = static_cast<loop::TimeMs>(STOP_DEADLINE_SHARE * graceMs);
+        forwardingEnvironment_.stop = { loop_.now() + acceptingMs, loop_.now() + servingMs };
+        loop_.after(acceptingMs, [this] {
             gateway_.closeIdle();
             stopWhenIdle();
         });
-        loop_.after(static_cast<loop::TimeMs>(STOP_DEADLINE_SHARE * graceMs), [this] { loop_.stop(); });
+        loop_.after(servingMs, [this] { endOpenRequests(); });
+        loop_.after(servingMs + STOP_FLUSH_MS, [this] { loop_.stop(); });
+    }
+
+    /// Tells the callers of open requests whether these may have been executed.
+    void endOpenRequests()
+    {
+        const auto openRequests = forwardingEnvironment_.openRequests;
+        log_.info("stop-ends", { { "open", openRequests.size() } });
+        for (const auto& request : openRequests)
+            request->onStopEnds();
     }
 
     void stopWhenIdle()
--- a/src/goldcrestcleat/errors/ResultCode.cpp
+++ b/src/goldcrestcleat/errors/ResultCode.cpp
@@ -34,6 +34,7 @@
         { R::NoUpstream, "NoUpstream", 503, E::No, "no live upstream takes this request" },
         { R::NotReady, "NotReady", 503, E::No, "this VM has not read the configuration yet" },
         { R::MemoryLimit, "MemoryLimit", 503, E::No, "the open requests exceed the memory limit of this VM" },
+        { R::Stopping, "Stopping", 503, E::No, "this VM stops before the request's time limit" },
         { R::UpstreamFailed, "UpstreamFailed", 502, E::Unknown, "the upstream failed while it held the request" },
         { R::UpstreamTimeout, "UpstreamTimeout", 504, E::Unknown, "the upstream did not answer in time" },
         { R::AnswerIncomplete, "AnswerIncomplete", 502, E::Unknown, "the answer broke off and can't be resumed" },
--- a/src/goldcrestcleat/errors/ResultCode.h
+++ b/src/goldcrestcleat/errors/ResultCode.h
@@ -38,6 +38,7 @@
     NoUpstream = 2005,
     NotReady = 2007,
     MemoryLimit = 2008,
+    Stopping = 2009,
 
     UpstreamFailed = 3001,
     UpstreamTimeout = 3002,
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
@@ -98,6 +98,10 @@
         fail(ResultCode::DeadlineUnreachable, "not enough time left for an attempt");
         return;
     }
+    if (!plan_.mayRepeat && !maySend(env_.stop, env_.loop.now(), arrivedAt() + plan_.timeoutMs + TIMEOUT_GRACE_MS)) {
+        fail(ResultCode::Stopping, "the answer could not be awaited");
+        return;
+    }
     isPlacing_ = true;
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
     hooks_.place(progress(), [weak](const PlacementResult& result) {
@@ -328,6 +332,14 @@
 void ForwardedRequest::onTimeout()
 {
     timeoutTimer_ = 0;
+    endUnanswered(ResultCode::DeadlineUnreachable, "request timed out");
+}
+
+void ForwardedRequest::onStopEnds() { endUnanswered(ResultCode::Stopping, "the daemon has stopped"); }
+
+/// Ends the request. `unsentCode` applies if no server may have executed it.
+void ForwardedRequest::endUnanswered(ResultCode unsentCode, const std::string& reason)
+{
     if (isEnded_)
         return;
     if (attempt_.call) {
@@ -335,7 +347,7 @@
             { { "server", attempt_.placement.serverId }, { "sinceSendMs", env_.loop.now() - attempt_.sentAt } });
     }
     possibleRuns_ += runningAttempts();
-    fail(possibleRuns_ > 0 ? ResultCode::UpstreamTimeout : ResultCode::DeadlineUnreachable, "request timed out");
+    fail(possibleRuns_ > 0 ? ResultCode::UpstreamTimeout : unsentCode, reason);
 }
 
 /// Returns the number of open attempts that a server may be executing.
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -2,6 +2,7 @@
 
 #include "goldcrestcleat/admission/QuarantineHooks.h"
 #include "goldcrestcleat/forwarding/AnswerBuffers.h"
+#include "goldcrestcleat/forwarding/PlannedStop.h"
 #include "goldcrestcleat/forwarding/RequestHooks.h"
 #include "goldcrestcleat/http/Server.h"
 #include "goldcrestcleat/observe/Metrics.h"
@@ -21,6 +22,7 @@
     std::set<std::shared_ptr<ForwardedRequest>> openRequests; ///< unfinished requests
     std::function<void(const RequestSummary&)> onFinished; ///< may be unset
     admission::QuarantineHooks quarantineHooks {};
+    std::optional<PlannedStop> stop {}; ///< set once the daemon stops
     std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>(loop);
 };
 
@@ -51,6 +53,9 @@
     /// Gives up the request if its fingerprints include one that is banned from now on and its answer has not begun.
     void onBan(admission::Fingerprint fingerprint);
 
+    /// Ends the request because the daemon ends. Tells the caller whether it may have been executed.
+    void onStopEnds();
+
     /// Moves the request to a less loaded server if one accepts it immediately.
     void migrate();
 
@@ -150,6 +155,7 @@
     void onProgressTimer();
     void onInactivity();
     void onTimeout();
+    void endUnanswered(errors::ResultCode unsentCode, const std::string& reason);
     loop::TimeMs remainingMs() const;
     loop::TimeMs inactivityTimeoutMs() const
     {
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -35,6 +35,7 @@
 
     constexpr loop::TimeMs RETRY_AFTER_MS = 300;
     constexpr loop::TimeMs NOT_READY_RETRY_AFTER_MS = 500;
+    constexpr loop::TimeMs STOPPING_RETRY_AFTER_MS = 50; // another daemon takes the request at once
 
     // Requests to a server that asked for none resume up to this part of the time later, but at most so late.
     constexpr loop::TimeMs BACK_OFF_SPREAD_DIVISOR = 4;
@@ -94,6 +95,11 @@
             return false;
         }
     }
+    const loop::TimeMs limitEndsAt = exchange_->arrivedAt() + timeoutMs();
+    if (!maySend(env_.requests.stop, env_.requests.loop.now(), limitEndsAt)) {
+        refuseUnadmitted(ResultCode::Stopping);
+        return false;
+    }
     const std::string caller = workspace_ ? workspace_->name : "";
     const auto content = admission::fingerprintOf(caller + "\n" + exchange_->head().getURI(), exchange_->body());
     std::vector<std::string_view> parts;
@@ -113,7 +119,7 @@
     plan.isStream = route_->kind == CallKind::Stream;
     plan.mayRepeat = route_->mayRepeat();
     plan.attempts = route_->attempts;
-    plan.timeoutMs = std::min(inbound_.deadlineMs.value_or(route_->timeoutMs), route_->timeoutMs);
+    plan.timeoutMs = timeoutMs();
     if (plan.mayRepeat) {
         plan.firstByteTimeoutMs = std::max(FIRST_BYTE_TARGET_FACTOR * route_->goalMs, MIN_TIMEOUT_MS);
         plan.idleTimeoutMs = std::max(IDLE_PAUSE_FACTOR * route_->maxPauseMs, MIN_TIMEOUT_MS);
@@ -127,6 +133,11 @@
     return plan;
 }
 
+loop::TimeMs RoutedCall::timeoutMs() const
+{
+    return std::min(inbound_.deadlineMs.value_or(route_->timeoutMs), route_->timeoutMs);
+}
+
 std::string RoutedCall::kindName() const
 {
     if (!route_)
@@ -369,6 +380,8 @@
         return NOT_READY_RETRY_AFTER_MS;
     if (code == ResultCode::Quarantined)
         return QUARANTINED_RETRY_AFTER_MS;
+    if (code == ResultCode::Stopping)
+        return STOPPING_RETRY_AFTER_MS;
     if (code != ResultCode::NoUpstream && code != ResultCode::DeadlineUnreachable)
         return 0;
     const loop::TimeMs now = env_.requests.loop.now();
--- a/src/goldcrestcleat/forwarding/RoutedCall.h
+++ b/src/goldcrestcleat/forwarding/RoutedCall.h
@@ -51,6 +51,7 @@
     bool admit();
     Plan plan() const;
     std::string kindName() const;
+    loop::TimeMs timeoutMs() const;
     RequestHooks hooks();
 
     // Placement.
--- a/src/goldcrestcleat/http/Server.cpp
+++ b/src/goldcrestcleat/http/Server.cpp
@@ -105,7 +105,8 @@
     streaming_ = true;
     Fields all = fields;
     all.emplace_back("Transfer-Encoding", "chunked");
-    all.emplace_back("Connection", session->closesAfterResponse() ? "close" : "Keep-Alive");
+    isKept_ = head_.getKeepAlive() && !session->closesAfterResponse();
+    all.emplace_back("Connection", isKept_ ? "Keep-Alive" : "close");
     session->write(serializeHead(status, all));
 }
 
@@ -124,7 +125,7 @@
     responded_ = true;
     streaming_ = false;
     session->write("0\r\n\r\n");
-    session->endExchange(head_.getKeepAlive() && !session->closesAfterResponse());
+    session->endExchange(isKept_);
 }
 
 void Exchange::truncateStream()
@@ -208,19 +209,20 @@
         linger();
         return;
     }
-    if (!keepAlive || draining_) {
+    // A caller that was told that the connection stays open may have sent its next request already.
+    const bool hasNext = reader_.buffered() > 0 || connection_->hasPendingInput();
+    if (!keepAlive || (closesAfterResponse() && !hasNext)) {
         connection_->closeAfterDrain();
         return;
     }
     requestEnded_ = false;
     connection_->setReading(true);
+    if (reader_.buffered() > 0)
+        requestStart_ = server_.loop_.now();
     server_.loop_.after(0, [weak = weak_from_this()] {
         const auto session = weak.lock();
-        if (!session || !session->isOpen())
-            return;
-        if (session->reader_.buffered() > 0)
-            session->requestStart_ = session->server_.loop_.now();
-        session->reader_.next();
+        if (session && session->isOpen())
+            session->reader_.next();
     });
 }
 
--- a/src/goldcrestcleat/http/Server.h
+++ b/src/goldcrestcleat/http/Server.h
@@ -76,6 +76,7 @@
     loop::TimeMs arrivedAt_ = 0;
     bool responded_ = false;
     bool streaming_ = false;
+    bool isKept_ = false; // the head of a streamed response announced that the connection stays open
 };
 
 /// Timeouts of a server, in ms.
--- a/tests/fleet/late_requests_test.cpp
+++ b/tests/fleet/late_requests_test.cpp
@@ -120,3 +120,42 @@
     const bool isComplete = answer.size() > end.size() && answer.substr(answer.size() - end.size()) == end;
     rig.expectCompleteIfRun(headers.at("Request-Id"), isComplete, answer);
 }
+
+Test(late_requests, late_requests_with_short_deadlines_are_answered_and_others_are_refused_at_once, .timeout = 120)
+{
+    StoppingRig rig;
+    rig.setServerFaults(FrontRig::appName(0), { { "delayMs", 200 } });
+    SlowCaller quick(rig.callerAddress(0));
+    SlowCaller slow(rig.callerAddress(0));
+    const Headers quickHeaders = FrontRig::validHeaders({ { "Request-Deadline", "3000" } });
+    const Headers slowHeaders = FrontRig::validHeaders({ { "Request-Deadline", "15000" } });
+    rig.daemon(0).signal(SIGTERM);
+    sleepMs(ACCEPTING_MS / 2);
+    quick.send(headOf("/book/a", quickHeaders, 2) + "x");
+    slow.send(headOf("/book/a", slowHeaders, 2) + "x");
+    rig.daemon(0).signal(SIGTERM); // a repeated signal changes nothing
+    rig.daemon(0).signal(SIGHUP);
+    sleepMs(LATE_MS - ACCEPTING_MS / 2);
+    quick.send("y");
+    slow.send("y");
+    const std::string answer = quick.receive();
+    cr_assert_eq(answer.rfind("HTTP/1.1 200", 0), 0, "the answer is '%s'", answer.c_str());
+    const std::string refusal = slow.receive();
+    cr_assert_eq(refusal.rfind("HTTP/1.1 503", 0), 0, "the refusal is '%s'", refusal.c_str());
+    cr_assert(refusal.find("Retry-After: ") != std::string::npos);
+    cr_assert(refusal.find("Connection: close") != std::string::npos);
+    cr_assert_eq(rig.countRuns(slowHeaders.at("Request-Id")), 0);
+}
+
+Test(late_requests, a_request_that_is_open_at_the_end_of_a_planned_stop_gets_an_answer, .timeout = 120)
+{
+    StoppingRig rig;
+    rig.setServerFaults(FrontRig::appName(0), { { "delayMs", 2 * GRACE_MS } });
+    const Headers headers = FrontRig::validHeaders({ { "Request-Deadline", "30000" } });
+    SlowCaller caller(rig.callerAddress(0));
+    caller.send(headOf("/book/a", headers, 1) + "x");
+    sleepMs(200);
+    rig.daemon(0).signal(SIGTERM);
+    const std::string answer = caller.receive();
+    cr_assert_eq(answer.rfind("HTTP/1.1 504", 0), 0, "the answer is '%s'", answer.c_str());
+}
