--- a/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
@@ -6,7 +6,8 @@
 #include <utility>
 
 // Placement, sending, timeouts and completion. ForwardedResponse.cpp handles responses and failed attempts,
-// ForwardedTakeover.cpp the change to another server while the current one makes no progress.
+// ForwardedTakeover.cpp the change to another server while the current one makes no progress, ForwardedQuarantine.cpp
+// the refusal of requests that crash servers.
 
 namespace goldcrestcleat::forwarding {
 
@@ -110,43 +111,6 @@
     });
 }
 
-/// Ends the request because of a ban.
-void ForwardedRequest::failQuarantined(admission::Fingerprint fingerprint)
-{
-    const auto* ban = env_.quarantine.find(fingerprint);
-    env_.metrics.onQuarantineRefusal(admission::toHex(fingerprint));
-    fail(ResultCode::Quarantined, ban ? admission::describe(*ban) : "");
-}
-
-/// Returns false if the request is refused, or if it is not yet known whether it may be sent as a probe.
-bool ForwardedRequest::passesQuarantine()
-{
-    const auto* ban = env_.quarantine.findBan(plan_.fingerprints);
-    if (!ban || probedBan_)
-        return true;
-    if (attemptCount_ > 0 || !env_.quarantineHooks.claimProbe || !env_.quarantine.isProbeDue(*ban)) {
-        failQuarantined(ban->fingerprint);
-        return false;
-    }
-    probedBan_ = ban->fingerprint;
-    env_.quarantineHooks.claimProbe(ban->fingerprint, [weak = weak_from_this()](bool isClaimed) {
-        if (const auto self = weak.lock())
-            self->onProbeClaimed(isClaimed);
-    });
-    return false;
-}
-
-void ForwardedRequest::onProbeClaimed(bool isClaimed)
-{
-    if (isEnded_)
-        return;
-    if (isClaimed) {
-        place();
-        return;
-    }
-    failQuarantined(*std::exchange(probedBan_, std::nullopt));
-}
-
 void ForwardedRequest::onPlaced(const PlacementResult& result)
 {
     isPlacing_ = false;
@@ -292,43 +256,6 @@
         armProgressTimer();
 }
 
-/// Tries another server if that is allowed, or ends the attempt if its plan says that it fails. The server may still
-/// respond, so it keeps the request until another one has taken it over.
-void ForwardedRequest::onInactivity()
-{
-    if (!attempt_.call->isConnected()) {
-        onUnreachable("connection timed out");
-        return;
-    }
-    if (plan_.failsWhenUnresponsive) {
-        onBroken(FailureKind::Unresponsive, "server made no progress within the timeout");
-        return;
-    }
-    beginTakeover("server made no progress within the timeout");
-    inactivityHandledAt_ = env_.loop.now(); // another server may be available when the timer expires again
-    if (mayAbandonAttempt())
-        armProgressTimer();
-}
-
-void ForwardedRequest::onServerDown()
-{
-    // Opening a connection has a timeout of its own.
-    if (isEnded_ || !attempt_.call || !attempt_.call->isConnected())
-        return;
-    if (!plan_.failsWhenUnresponsive)
-        beginTakeover("server became unreachable");
-}
-
-void ForwardedRequest::onBan(admission::Fingerprint fingerprint)
-{
-    const auto& fingerprints = plan_.fingerprints;
-    const bool isAffected = std::find(fingerprints.begin(), fingerprints.end(), fingerprint) != fingerprints.end();
-    if (isEnded_ || !isAffected || attempt_.headAt || probedBan_)
-        return;
-    possibleRuns_ += runningAttempts();
-    failQuarantined(fingerprint);
-}
-
 void ForwardedRequest::onTimeout()
 {
     timeoutTimer_ = 0;
--- a/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
@@ -22,6 +22,33 @@
 
 } // namespace
 
+/// Tries another server if that is allowed, or ends the attempt if its plan says that it fails. The server may still
+/// respond, so it keeps the request until another one has taken it over.
+void ForwardedRequest::onInactivity()
+{
+    if (!attempt_.call->isConnected()) {
+        onUnreachable("connection timed out");
+        return;
+    }
+    if (plan_.failsWhenUnresponsive) {
+        onBroken(FailureKind::Unresponsive, "server made no progress within the timeout");
+        return;
+    }
+    beginTakeover("server made no progress within the timeout");
+    inactivityHandledAt_ = env_.loop.now(); // another server may be available when the timer expires again
+    if (mayAbandonAttempt())
+        armProgressTimer();
+}
+
+void ForwardedRequest::onServerDown()
+{
+    // Opening a connection has a timeout of its own.
+    if (isEnded_ || !attempt_.call || !attempt_.call->isConnected())
+        return;
+    if (!plan_.failsWhenUnresponsive)
+        beginTakeover("server became unreachable");
+}
+
 /// Sends the request to another server if it may be repeated, a server is available and the budget has a retry left.
 void ForwardedRequest::beginTakeover(const std::string& reason)
 {
--- a/src/goldcrestcleat/http/Server.h
+++ b/src/goldcrestcleat/http/Server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "goldcrestcleat/http/Exchange.h"
 #include "goldcrestcleat/http/MessageReader.h"
 #include "goldcrestcleat/loop/Connection.h"
 
@@ -12,73 +13,6 @@
 
 namespace goldcrestcleat::http {
 
-/// Header fields in the order they are written.
-using Fields = std::vector<std::pair<std::string, std::string>>;
-
-class ServerSession;
-
-/// A request and its response. Stays valid after the caller has disconnected; all output is then discarded.
-class Exchange {
-public:
-    using Ptr = std::shared_ptr<Exchange>;
-
-    Exchange(std::weak_ptr<ServerSession> session, const Poco::Net::HTTPRequest& head,
-        std::shared_ptr<std::size_t> heldBodyBytes = std::make_shared<std::size_t>(0));
-    ~Exchange() { *heldBodyBytes_ -= body_.size(); }
-    Exchange(const Exchange&) = delete;
-    Exchange& operator=(const Exchange&) = delete;
-
-    const Poco::Net::HTTPRequest& head() const { return head_; }
-    std::string header(const std::string& name) const { return head_.get(name, ""); }
-
-    /// Returns the path without the query string.
-    const std::string& path() const { return path_; }
-
-    /// Returns a query parameter, or an empty string.
-    std::string query(const std::string& name) const;
-
-    const std::string& body() const { return body_; }
-
-    /// Returns the steady-clock time at which the request's first byte was received, in ms.
-    loop::TimeMs arrivedAt() const { return arrivedAt_; }
-
-    /// Sends a complete response.
-    void reply(int status, const Fields& fields, std::string_view body);
-
-    /// Starts a chunked response, whose parts are sent by `write`.
-    void startStream(int status, const Fields& fields);
-    void write(std::string_view part);
-    void finishStream();
-
-    /// Sends the parts written so far and closes the connection without the end of the chunked encoding.
-    void truncateStream();
-
-    /// Closes the connection, which shows the caller that the response is incomplete.
-    void abort();
-
-    bool isStreaming() const { return streaming_; }
-
-    /// Returns the number of response bytes that are still queued for sending.
-    std::size_t backlog() const;
-
-    std::function<void()> onCallerDisconnected;
-    std::function<void()> onDrain;
-
-private:
-    friend class ServerSession;
-
-    std::weak_ptr<ServerSession> session_;
-    Poco::Net::HTTPRequest head_;
-    std::string path_;
-    std::vector<std::pair<std::string, std::string>> query_;
-    std::string body_;
-    std::shared_ptr<std::size_t> heldBodyBytes_; // of all exchanges of the server
-    loop::TimeMs arrivedAt_ = 0;
-    bool responded_ = false;
-    bool streaming_ = false;
-    bool isKept_ = false; // the head of a streamed response announced that the connection stays open
-};
-
 /// Timeouts of a server, in ms.
 struct ServerTimeouts {
     loop::TimeMs requestMs = 10'000; ///< from a request's first byte to its last
