Evacuate data centres, limit cold servers, keep to permitted regions

What callers saw: requests ran at servers of a data centre that the operator had emptied.

Cause: the code did not know these requests of the operator at all. The rows are in the table of the configuration, which each daemon mirrors, and were skipped; the time for which a server stays cold, its rate and the permitted regions were not parsed.

Ruled out: an own watch or own messages for evacuations (the mirror's broadcast and repair carry the rows already); token buckets, permits of an owner, and shares of the daemons that are up for cold servers (docs/design/data-centres.md).

Change: rows with the adapter's prefix evacuate a data centre in ServerRegistry, which every placement and fetch asks. ColdStartLimiter divides what a cold server tolerates among the listed daemons. Servers count as cold by their entry, after an evacuation and after they were unreachable. Routes and workspaces may permit regions; entry answers prefer the caller's. All is off where configuration and rows do not call for it.

Entry answers by region have no test but of RouteTable::regionsOf.

--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -6,6 +6,7 @@
 #include "goldcrestcleat/observe/PerSecondSummary.h"
 #include "goldcrestcleat/store/CountedStore.h"
 #include "goldcrestcleat/store/TableWatcher.h"
+#include "goldcrestcleat/upstreams/EvacuationUpdater.h"
 #include "goldcrestcleat/upstreams/ReachabilityChecker.h"
 #include "goldcrestcleat/upstreams/ServerRegistryUpdater.h"
 
@@ -69,9 +70,10 @@
               { adapter_.parseServer, [this] { return membership_.mayHaveExpired(); },
                   [this] { return membership_.storeUnansweredMs(); },
                   [this](routing::NodeKey server) { onServerEnded(server); } })
+        , evacuationUpdater_(loop_, log_, serverRegistry_, adapter_.evacuationKeyPrefix)
         , reachabilityChecker_(loop_, httpClient_, serverRegistry_, log_)
         , membership_(loop_, settings_, log_, store_, serverRegistry_, quarantine_,
-              { [this] { updateRetryBudget(); }, [this](routing::NodeKey server) { onServerUnavailableAtPeer(server); },
+              { [this] { onPeersChanged(); }, [this](routing::NodeKey server) { onServerUnavailableAtPeer(server); },
                   [this] { return paceTracker_.observedSlow(loop_.now()); },
                   [this](
                       routing::NodeKey server, double slowness) { paceTracker_.report(server, slowness, loop_.now()); },
@@ -80,7 +82,7 @@
                   [this] { updateReadiness(); } })
         , forwardingEnvironment_ { loop_, httpClient_, metrics_, quarantine_, {}, nullptr }
         , routedEnvironment_ { forwardingEnvironment_, settings_, log_, serverRegistry_, paceTracker_,
-            serviceDurations_, retryBudget_, contextMemory_, adapter_.dialect, random_,
+            serviceDurations_, coldStarts_, retryBudget_, contextMemory_, adapter_.dialect, random_,
             [this] { return membership_.loadAgeMs(); }, [this] { return routesInForce(); },
             [this](routing::NodeKey server) { onConnectFailed(server); },
             [this](routing::NodeKey server) { reachabilityChecker_.suspect(server, Source::Local); },
@@ -91,7 +93,8 @@
                     reachabilityChecker_.checkEnded(server);
             } }
         , gateway_(routedEnvironment_, adapter_.entryDialect,
-              { [this] { return isReady(); }, [this] { return membership_.entryAddresses(); } })
+              { [this] { return isReady(); },
+                  [this](const std::vector<std::string>& regions) { return membership_.entryAddresses(regions); } })
     {
         connectHooks();
     }
@@ -130,7 +133,11 @@
     {
         httpClient_.setConnectTimeout(CONNECT_TIMEOUT_MS);
         loop_.onIteration = [this] { handleSignals(); };
-        loop_.onLateIteration = [this](loop::TimeMs lateMs) { log_.warn("loop-late", { { "ms", lateMs } }); };
+        loop_.onLateIteration = [this](loop::TimeMs lateMs) {
+            log_.warn("loop-late", { { "ms", lateMs } });
+            coldStarts_.pause(loop_.now()); // requests from before the delay may be sent only now
+        };
+        coldStarts_.pause(loop_.now()); // an earlier process of this VM may just have started some
         loop_.onIterationEnd = [this](loop::TimeMs lateMs, loop::TimeMs tookMs) {
             metrics_.onIteration(static_cast<double>(lateMs), static_cast<double>(tookMs));
         };
@@ -166,6 +173,7 @@
 
     void onConfigurationRows(const Rows& rows)
     {
+        evacuationUpdater_.onRows(rows);
         for (const auto& row : rows) {
             if (row.key != adapter_.configurationKey || row.isRemoved)
                 continue;
@@ -271,6 +279,12 @@
 
     void updateReadiness() { membership_.setReady(isReady()); }
 
+    void onPeersChanged()
+    {
+        updateRetryBudget();
+        coldStarts_.setDaemons(routing::nodeKey(settings_.self.id), membership_.daemons());
+    }
+
     void updateRetryBudget()
     {
         const auto& bounds = settings_.bounds;
@@ -324,6 +338,7 @@
         metrics_.setConfigurationVersion(routeTable_ ? routeTable_->version() : 0);
         metrics_.setPeers(membership_.peersUp(), static_cast<double>(membership_.oldestReportMs()));
         metrics_.setLogLinesLost(log_.omittedLines(), observe::Log::droppedLines());
+        metrics_.setEvacuatedDataCentres(serverRegistry_.evacuatedDataCentres().size());
         metrics_.setOpenRequests(static_cast<int>(forwardingEnvironment_.openRequests.size()));
         metrics_.setControlBytes("peer", membership_.bytes());
         metrics_.setHeldBytes("answers", forwardingEnvironment_.answerBuffers->answerBytes());
@@ -402,6 +417,7 @@
     upstreams::ServerRegistry serverRegistry_;
     upstreams::PaceTracker paceTracker_;
     routing::ServiceDurations serviceDurations_;
+    routing::ColdStartLimiter coldStarts_;
     admission::Quarantine quarantine_;
     admission::CrashAttribution crashAttribution_;
     admission::SharedRetryBudget retryBudget_;
@@ -413,6 +429,7 @@
     store::TableWatcher configurationWatcher_;
     store::TableWatcher serversWatcher_;
     upstreams::ServerRegistryUpdater serverRegistryUpdater_;
+    upstreams::EvacuationUpdater evacuationUpdater_;
     upstreams::ReachabilityChecker reachabilityChecker_;
     fleet::Membership membership_;
     forwarding::Environment forwardingEnvironment_;
--- a/src/goldcrestcleat/FrontDaemon.h
+++ b/src/goldcrestcleat/FrontDaemon.h
@@ -14,6 +14,7 @@
 struct PlatformAdapter {
     std::string configurationTable;
     std::string configurationKey;
+    std::string evacuationKeyPrefix {}; ///< of rows of the same table that name an evacuated data centre
     std::string serversTable;
 
     /// Parses the configuration document. Throws Error with ConfigurationInvalid.
--- a/src/goldcrestcleat/documents/ObjectReader.cpp
+++ b/src/goldcrestcleat/documents/ObjectReader.cpp
@@ -132,6 +132,18 @@
     return value->get<bool>();
 }
 
+std::map<std::string, std::string> ObjectReader::texts(const std::string& key)
+{
+    std::map<std::string, std::string> values;
+    object(key, [&](ObjectReader& member) {
+        if (!member.object_.is_object())
+            return;
+        for (const auto& [name, value] : member.object_.items())
+            values[name] = member.text(name);
+    });
+    return values;
+}
+
 void ObjectReader::object(const std::string& key, const std::function<void(ObjectReader&)>& read)
 {
     static const json empty = json::object();
--- a/src/goldcrestcleat/documents/ObjectReader.h
+++ b/src/goldcrestcleat/documents/ObjectReader.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,6 +53,9 @@
     std::string address(const std::string& key);
     std::string address(const std::string& key, const std::string& fallback);
 
+    /// Reads an object whose members are all strings. A missing member is read as an empty object.
+    std::map<std::string, std::string> texts(const std::string& key);
+
     std::int64_t integer(const std::string& key, std::int64_t min, std::int64_t max, std::int64_t fallback);
     double number(const std::string& key, double min, double max, double fallback);
     bool boolean(const std::string& key, bool fallback);
--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -127,20 +127,38 @@
         sendState(peer->key);
 }
 
-std::vector<std::string> Membership::entryAddresses() const
+std::vector<std::string> Membership::entryAddresses(const std::vector<std::string>& preferredRegions) const
 {
-    std::vector<std::string> addresses;
+    std::vector<const settings::EntryVm*> vms;
     if (isReady_ && !isLeaving_)
-        addresses.push_back(settings_.self.caller);
+        vms.push_back(&settings_.self);
     for (const auto* peer : links_.peers()) {
         if (peer->isUp && peer->isReady && !peer->isLeaving)
-            addresses.push_back(peer->vm.caller);
+            vms.push_back(&peer->vm);
     }
-    return addresses;
+    std::vector<std::string> all;
+    std::vector<std::string> preferred;
+    for (const auto* vm : vms) {
+        const std::string region = settings_.regionOf(vm->dataCentre);
+        all.push_back(vm->caller);
+        if (std::find(preferredRegions.begin(), preferredRegions.end(), region) != preferredRegions.end())
+            preferred.push_back(vm->caller);
+    }
+    return preferred.empty() ? all : preferred;
 }
 
 int Membership::size() const { return 1 + static_cast<int>(links_.peers().size()); }
 
+std::vector<NodeKey> Membership::daemons() const
+{
+    if (!knowsDaemons_)
+        return {};
+    std::vector<NodeKey> daemons { routing::nodeKey(settings_.self.id) };
+    for (const auto* peer : links_.peers())
+        daemons.push_back(peer->key);
+    return daemons;
+}
+
 int Membership::peersUp() const { return static_cast<int>(connectedPeers().size()); }
 
 loop::TimeMs Membership::oldestReportMs() const
@@ -209,6 +227,7 @@
     for (const auto* peer : links_.peers())
         listed.push_back(peer->key);
     tables_.setListedPeers(std::move(listed));
+    knowsDaemons_ = true;
     hooks_.onPeersChanged();
     openLinks();
 }
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -68,8 +68,10 @@
     /// True once the verdicts of the quarantine were read from the store or received from a ready peer.
     bool hasVerdicts() const { return hasVerdicts_; }
 
-    /// Returns the addresses for callers of all daemons that accept requests, including this one if it does.
-    std::vector<std::string> entryAddresses() const;
+    /// Returns the addresses for callers of the daemons that accept requests, including this one if it does.
+    ///
+    /// Those in the preferred regions are returned if there are any, otherwise all.
+    std::vector<std::string> entryAddresses(const std::vector<std::string>& preferredRegions = {}) const;
 
     /// Returns whether an entry that is missing may have expired in an outage of the store, and may still return.
     bool mayHaveExpired() { return tables_.mayHaveExpired(); }
@@ -87,6 +89,9 @@
     /// and shared limits must be divided among all daemons.
     int size() const;
 
+    /// Returns the keys of all known daemons, including this one; none before the first read of the table.
+    std::vector<routing::NodeKey> daemons() const;
+
     /// Number of peers whose link is up.
     int peersUp() const;
 
@@ -145,6 +150,7 @@
     loop::TimeMs lastBusyAt_ = 0; // when requests were last open
     std::map<std::string, RenewalState> renewals_; // by row key
     const loop::TimeMs renewalMs_;
+    bool knowsDaemons_ = false; // the table was read
     bool linksOpen_ = false;
     bool hasVerdicts_ = false;
     bool isReady_ = false;
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -102,6 +102,7 @@
         parts.emplace_back(part.id);
     fingerprints_ = admission::fingerprintsOf(content, parts);
     service_ = routes::chooseService(*route_, std::uniform_real_distribution<double>(0, 1)(env_.random));
+    serviceEntry_ = routes_->findService(service_);
     env_.retryBudget.onRequest(service_, env_.requests.loop.now());
     return true;
 }
--- a/src/goldcrestcleat/forwarding/RoutedCall.h
+++ b/src/goldcrestcleat/forwarding/RoutedCall.h
@@ -6,6 +6,7 @@
 #include "goldcrestcleat/observe/Log.h"
 #include "goldcrestcleat/routes/RouteTable.h"
 #include "goldcrestcleat/routing/ChatAffinityCache.h"
+#include "goldcrestcleat/routing/ColdStartLimiter.h"
 #include "goldcrestcleat/routing/LoadEstimate.h"
 #include "goldcrestcleat/routing/WarmPlacement.h"
 #include "goldcrestcleat/settings/FrontSettings.h"
@@ -24,6 +25,7 @@
     upstreams::ServerRegistry& servers;
     upstreams::PaceTracker& paces;
     routing::ServiceDurations& durations;
+    routing::ColdStartLimiter& coldStarts;
     admission::SharedRetryBudget& retryBudget;
     routing::ChatAffinityCache& contextHolders; ///< engine that last processed a shared context, as seen by this daemon
     const Dialect& dialect;
@@ -57,6 +59,10 @@
     // Placement.
     PlacementResult place(const Progress& progress);
     void release(const Placement& placement);
+    bool isColdStart(const upstreams::Server& server) const;
+    bool mayReceive(const upstreams::Server& server) const;
+    bool isInPermittedRegion(const std::string& dataCentre) const;
+    routing::ColdStartLimiter::Tolerance coldTolerance() const;
     std::vector<routing::Candidate> candidates(const std::vector<routing::NodeKey>& tried) const;
     routing::WarmChoice choose(const std::vector<routing::Candidate>& candidates) const;
     std::optional<std::uint64_t> contextKey() const;
@@ -86,6 +92,7 @@
     const routes::Route* route_ = nullptr;
     const routes::Workspace* workspace_ = nullptr;
     std::string service_;
+    const routes::Service* serviceEntry_ = nullptr; // null if the configuration states nothing about it
     std::vector<admission::Fingerprint> fingerprints_;
 };
 
--- a/src/goldcrestcleat/forwarding/RoutedPlacement.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedPlacement.cpp
@@ -33,6 +33,10 @@
     placement.serverStartedAtMs = server->entry.startedAtMs;
     placement.fetchFrom = fetchAddress(choice);
     placement.placedAt = env_.requests.loop.now();
+    if (isColdStart(*server)) {
+        env_.coldStarts.recordStart(choice.server, placement.placedAt);
+        env_.requests.metrics.onColdStart();
+    }
     env_.servers.addRequest(choice.server);
     if (const auto key = contextKey()) {
         countSharedTokens(placement, env_.contextHolders.find(*key) == choice.server || choice.isFirstChoice);
@@ -47,6 +51,36 @@
     env_.durations.record(service_, env_.requests.loop.now() - placement.placedAt);
 }
 
+/// Returns whether a request to the server would count towards the limit of a cold server.
+bool RoutedCall::isColdStart(const upstreams::Server& server) const
+{
+    return serviceEntry_ && serviceEntry_->limitsColdStarts()
+        && server.isCold(env_.requests.loop.now(), serviceEntry_->coldMs);
+}
+
+routing::ColdStartLimiter::Tolerance RoutedCall::coldTolerance() const
+{
+    return { serviceEntry_->coldRequestsPerS, env_.settings.bounds.coldOverage };
+}
+
+/// Returns whether a usable server may receive this request now.
+bool RoutedCall::mayReceive(const upstreams::Server& server) const
+{
+    if (!isInPermittedRegion(server.entry.dataCentre))
+        return false;
+    return !isColdStart(server) || env_.coldStarts.mayStart(server.key, coldTolerance(), env_.requests.loop.now());
+}
+
+/// Returns whether both the route and the workspace permit the region of a data centre.
+bool RoutedCall::isInPermittedRegion(const std::string& dataCentre) const
+{
+    const auto permits = [&](const std::vector<std::string>& regions) {
+        const std::string region = env_.settings.regionOf(dataCentre);
+        return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+    };
+    return permits(route_->regions) && (!workspace_ || permits(workspace_->regions));
+}
+
 std::vector<routing::Candidate> RoutedCall::candidates(const std::vector<NodeKey>& tried) const
 {
     const loop::TimeMs now = env_.requests.loop.now();
@@ -66,7 +100,7 @@
         const double mean = peerOpen / slots * server->entry.slots;
         const double load = server->localOpen + routing::estimateLoad(server->peerOpen, mean, openShare);
         const double queueFactor = server->entry.isEngine ? ENGINE_QUEUE_FACTOR : SERVICE_QUEUE_FACTOR;
-        if (load >= queueFactor * server->entry.slots)
+        if (load >= queueFactor * server->entry.slots || !mayReceive(*server))
             continue;
         const bool isInSameDataCentre = server->entry.dataCentre == env_.settings.self.dataCentre;
         eligible.push_back(
@@ -109,7 +143,8 @@
     // Fetching from an engine that has stopped would delay the chosen one.
     for (const NodeKey candidate : { last, choice.fetchFrom }) {
         const auto* holder = env_.servers.find(candidate);
-        const bool isAvailable = holder && !holder->removedAt && !holder->isAvoided(env_.requests.loop.now());
+        const bool isAvailable = holder && !holder->removedAt && !holder->isAvoided(env_.requests.loop.now())
+            && !env_.servers.isEvacuated(*holder) && isInPermittedRegion(holder->entry.dataCentre);
         if (isAvailable && candidate != choice.server)
             return holder->entry.address;
     }
--- a/src/goldcrestcleat/gateway/FrontGateway.cpp
+++ b/src/goldcrestcleat/gateway/FrontGateway.cpp
@@ -99,7 +99,7 @@
         env_.dialect.refuse(*exchange, ResultCode::UnknownPath, "", 0);
         return;
     }
-    auto addresses = hooks_.entryAddresses();
+    auto addresses = addressesFor(*exchange);
     if (addresses.size() > entryDialect_.maxAddresses) {
         // A random selection distributes callers over all daemons.
         std::shuffle(addresses.begin(), addresses.end(), env_.random);
@@ -111,4 +111,16 @@
         entryDialect_.sendEntryAddresses(*exchange, addresses, env_.settings.bounds.entryTtlMs);
 }
 
+/// Returns the addresses in the caller's region. If there are none, those in the regions that the routes of the host
+/// permit, since requests may not be sent through any other.
+std::vector<std::string> FrontGateway::addressesFor(const http::Exchange& exchange) const
+{
+    const auto all = hooks_.entryAddresses({});
+    const auto nearby = hooks_.entryAddresses({ entryDialect_.callerRegion(exchange) });
+    const auto routes = env_.routes();
+    if (nearby.size() < all.size() || !routes)
+        return nearby;
+    return hooks_.entryAddresses(routes->regionsOf(entryDialect_.requestedHost(exchange)));
+}
+
 } // namespace goldcrestcleat::gateway
--- a/src/goldcrestcleat/gateway/FrontGateway.h
+++ b/src/goldcrestcleat/gateway/FrontGateway.h
@@ -15,6 +15,8 @@
     std::size_t maxAddresses = 0; ///< maximum number of addresses in one response
     std::function<bool(const http::Exchange&)> isEntryRequest;
     std::function<bool(const http::Exchange&)> isReadinessRequest;
+    std::function<std::string(const http::Exchange&)> callerRegion; ///< of an entry request; empty if not stated
+    std::function<std::string(const http::Exchange&)> requestedHost; ///< of an entry request; empty if not stated
     std::function<void(http::Exchange&, const std::vector<std::string>& addresses, loop::TimeMs ttlMs)>
         sendEntryAddresses;
 };
@@ -24,7 +26,8 @@
 public:
     struct Hooks {
         std::function<bool()> isReady;
-        std::function<std::vector<std::string>()> entryAddresses; ///< addresses of daemons that accept requests
+        /// Returns the addresses of the daemons that accept requests, in the preferred regions if there are any.
+        std::function<std::vector<std::string>(const std::vector<std::string>& preferredRegions)> entryAddresses;
     };
 
     FrontGateway(forwarding::RoutedEnvironment& env, const EntryDialect& entry, Hooks hooks);
@@ -51,6 +54,7 @@
     void onCall(const http::Exchange::Ptr& exchange);
     void onReadiness(const http::Exchange::Ptr& exchange);
     void onEntry(const http::Exchange::Ptr& exchange);
+    std::vector<std::string> addressesFor(const http::Exchange& exchange) const;
     std::unique_ptr<http::Server> listen(const std::string& address, http::Server::Handler handler);
 
     forwarding::RoutedEnvironment& env_;
--- a/src/goldcrestcleat/observe/Metrics.cpp
+++ b/src/goldcrestcleat/observe/Metrics.cpp
@@ -96,6 +96,10 @@
     , streamedParts_(
           &counter(*registry_, "goldcrestcleat_streamed_parts_total", "Parts of streamed answers passed to callers")
                .Add({}))
+    , coldStarts_(
+          &counter(*registry_, "goldcrestcleat_cold_starts_total", "Requests sent to servers that are cold or may be")
+               .Add({}))
+    , evacuated_(gauge(*registry_, "goldcrestcleat_evacuated_data_centres", "Data centres that are evacuated"))
     , openRequests_(gauge(*registry_, "goldcrestcleat_open_requests", "Requests that are not finished"))
     , queueDepth_(gauge(*registry_, "goldcrestcleat_queue_depth", "Ticket requests queued at this daemon's desk"))
     , rememberedChats_(gauge(*registry_, "goldcrestcleat_remembered_chats", "Chats whose engine is remembered here"))
--- a/src/goldcrestcleat/observe/Metrics.h
+++ b/src/goldcrestcleat/observe/Metrics.h
@@ -38,6 +38,12 @@
 
     void onRetry(const std::string& reason);
 
+    /// Counts a request that is sent to a server which is cold or may be.
+    void onColdStart() { coldStarts_->Increment(); }
+
+    /// Sets the number of data centres that are evacuated, as this daemon knows.
+    void setEvacuatedDataCentres(std::size_t count) { evacuated_->Set(static_cast<double>(count)); }
+
     /// Counts a request that is refused because it crashes servers, by the fingerprint that is banned.
     void onQuarantineRefusal(const std::string& fingerprint);
 
@@ -108,6 +114,8 @@
     prometheus::Histogram* iterationDelay_;
     prometheus::Histogram* iterationTime_;
     prometheus::Counter* streamedParts_;
+    prometheus::Counter* coldStarts_;
+    prometheus::Gauge* evacuated_;
     prometheus::Gauge* openRequests_;
     prometheus::Gauge* queueDepth_;
     prometheus::Gauge* rememberedChats_;
--- a/src/goldcrestcleat/routes/Configuration.h
+++ b/src/goldcrestcleat/routes/Configuration.h
@@ -43,6 +43,7 @@
     int attempts = 1; ///< number of servers on which one request may run
     int priority = 0; ///< 0 is the most urgent
     std::vector<RouteTarget> targets; ///< not empty
+    std::vector<std::string> regions {}; ///< whose servers may run its requests; empty for all
 
     /// Returns true if a failed attempt may be followed by another one.
     bool mayRepeat() const { return kind == CallKind::Idempotent || (kind == CallKind::Stream && isResumable); }
@@ -53,6 +54,17 @@
     std::string name;
     std::vector<std::string> keys;
     std::optional<int> priority; ///< overrides that of the route
+    std::vector<std::string> regions {}; ///< whose servers may run its requests; empty for all
+};
+
+/// What the operator states about the servers of a service.
+struct Service {
+    std::string name;
+    loop::TimeMs coldMs = 0; ///< how long a server that has turned cold stays cold; 0 if its servers are never cold
+    double coldRequestsPerS = 0; ///< requests that a cold server tolerates from all daemons together
+
+    /// Returns whether requests to its cold servers are limited.
+    bool limitsColdStarts() const { return coldMs > 0 && coldRequestsPerS > 0; }
 };
 
 /// Size limits and timeouts for callers.
@@ -74,7 +86,8 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<Workspace> workspaces;
-    CallerLimits limits;
+    std::vector<Service> services {};
+    CallerLimits limits {};
 };
 
 } // namespace goldcrestcleat::routes
--- a/src/goldcrestcleat/routes/RouteTable.cpp
+++ b/src/goldcrestcleat/routes/RouteTable.cpp
@@ -27,6 +27,8 @@
         for (const auto& key : workspace.keys)
             keys_.emplace(key, &workspace);
     }
+    for (const auto& service : configuration_.services)
+        services_.emplace(service.name, &service);
 }
 
 const Route* RouteTable::find(const std::string& host, std::string_view path) const
@@ -50,6 +52,26 @@
     return found == keys_.end() ? nullptr : found->second;
 }
 
+std::vector<std::string> RouteTable::regionsOf(const std::string& host) const
+{
+    std::vector<std::string> regions;
+    const auto prefixes = hosts_.find(hostWithoutPort(host));
+    if (prefixes == hosts_.end())
+        return regions;
+    for (const auto& [prefix, route] : prefixes->second) {
+        if (route->regions.empty())
+            return {};
+        regions.insert(regions.end(), route->regions.begin(), route->regions.end());
+    }
+    return regions;
+}
+
+const Service* RouteTable::findService(const std::string& name) const
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : found->second;
+}
+
 const std::string& chooseService(const Route& route, double draw)
 {
     double total = 0;
--- a/src/goldcrestcleat/routes/RouteTable.h
+++ b/src/goldcrestcleat/routes/RouteTable.h
@@ -23,6 +23,13 @@
     /// Returns the workspace to which a key belongs, or null. Complexity: O(1).
     const Workspace* findWorkspace(const std::string& key) const;
 
+    /// Returns the regions that the routes of a host permit; none if a route permits all. Complexity: O(routes of the
+    /// host).
+    std::vector<std::string> regionsOf(const std::string& host) const;
+
+    /// Returns what the configuration states about a service, or null. Complexity: O(1).
+    const Service* findService(const std::string& name) const;
+
     /// Returns true if keys are checked on the routes that need one; without any workspace they are not.
     bool isKeyCheckEnabled() const { return !configuration_.workspaces.empty(); }
 
@@ -35,6 +42,7 @@
     Configuration configuration_;
     std::unordered_map<std::string, PrefixIndex> hosts_;
     std::unordered_map<std::string, const Workspace*> keys_;
+    std::unordered_map<std::string, const Service*> services_;
 };
 
 /// Chooses one of a route's services according to their weights; `draw` is uniformly distributed in [0, 1).
--- a/src/goldcrestcleat/settings/FrontSettings.cpp
+++ b/src/goldcrestcleat/settings/FrontSettings.cpp
@@ -33,6 +33,7 @@
         b.retryExtra = reader.number("retryExtra", 0, 1e9, b.retryExtra);
         b.retryWindowMs = readSeconds(reader, "retryWindowS", b.retryWindowMs);
         b.loadFactor = reader.number("loadFactor", 1, 1'000, b.loadFactor);
+        b.coldOverage = reader.number("coldOverage", 1, 100, b.coldOverage);
         b.entryTtlMs = readSeconds(reader, "entryTtlS", b.entryTtlMs);
         // Callers cap the time to live at the deployment's maximum, so a longer one has no effect.
         b.entryTtlMs = std::min(b.entryTtlMs, readSeconds(reader, "longestEntryTtlS", b.entryTtlMs));
@@ -40,6 +41,12 @@
 
 } // namespace
 
+std::string FrontSettings::regionOf(const std::string& dataCentre) const
+{
+    const auto found = regions.find(dataCentre);
+    return found == regions.end() ? "" : found->second;
+}
+
 FrontSettings parseFrontSettings(const json& document, std::vector<Fault>& faults)
 {
     FrontSettings s;
@@ -52,6 +59,7 @@
     s.entryAddress = reader.address("entryAddress", "");
     s.metricsAddress = reader.address("metricsAddress", "");
     s.storeAddress = reader.address("storeAddress");
+    s.regions = reader.texts("regions");
     reader.object("bounds", [&](ObjectReader& member) { readBounds(member, s.bounds); });
     s.descriptors = static_cast<int>(reader.integer("descriptors", MIN_DESCRIPTORS, MAX_DESCRIPTORS, s.descriptors));
     s.logLevel = reader.text("logLevel", s.logLevel);
--- a/src/goldcrestcleat/settings/FrontSettings.h
+++ b/src/goldcrestcleat/settings/FrontSettings.h
@@ -3,6 +3,7 @@
 #include "goldcrestcleat/documents/ObjectReader.h"
 #include "goldcrestcleat/settings/Settings.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
     double retryExtra = 10; ///< further retries allowed per window
     loop::TimeMs retryWindowMs = 10'000; ///< over which requests and retries are counted
     double loadFactor = 2.0; ///< multiple of the mean load that no engine may exceed
+    double coldOverage = 1; ///< multiple of the requests that a cold server tolerates which may be sent to it
     loop::TimeMs entryTtlMs = 2'000; ///< how long callers may cache the response to an entry lookup
 };
 
@@ -25,9 +27,13 @@
     std::string entryAddress; ///< empty if this daemon does not serve entry lookups
     std::string metricsAddress; ///< empty for none
     std::string storeAddress;
+    std::map<std::string, std::string> regions; ///< by data centre; needed where the configuration names regions
     Bounds bounds;
     int descriptors = 1'024; ///< limit of open files and sockets; the default is the usual one of a process
     std::string logLevel = "info";
+
+    /// Returns the region of a data centre, empty if it is not known.
+    std::string regionOf(const std::string& dataCentre) const;
 };
 
 /// Parses a document. Returns the valid settings and appends all faults; unknown members are faults.
--- a/src/goldcrestcleat/upstreams/ReachabilityChecker.cpp
+++ b/src/goldcrestcleat/upstreams/ReachabilityChecker.cpp
@@ -84,7 +84,7 @@
         onFailed(key, Source::Local);
         return;
     }
-    servers_.onConnected(key);
+    servers_.onConnected(key, loop_.now());
     if (const auto* server = servers_.find(key))
         log_.infoRateLimited("server-regained", { { "server", server->entry.id } });
 }
--- a/src/goldcrestcleat/upstreams/ServerEntry.h
+++ b/src/goldcrestcleat/upstreams/ServerEntry.h
@@ -31,13 +31,16 @@
     bool isLeaving = false; ///< accepts no new requests
     bool isEngine = false; ///< runs models
     std::int64_t startedAtMs = 0; ///< Unix time of its start; 0 if not stated
+    std::int64_t coldLeftMs = 0; ///< how much longer it is cold, counted from when the entry was written
 
     ServerInstance instance() const { return { routing::nodeKey(id), startedAtMs, address }; }
 
     friend bool operator==(const ServerEntry& a, const ServerEntry& b)
     {
-        return std::tie(a.id, a.service, a.address, a.dataCentre, a.slots, a.isLeaving, a.isEngine, a.startedAtMs)
-            == std::tie(b.id, b.service, b.address, b.dataCentre, b.slots, b.isLeaving, b.isEngine, b.startedAtMs);
+        return std::tie(a.id, a.service, a.address, a.dataCentre, a.slots, a.isLeaving, a.isEngine, a.startedAtMs,
+                   a.coldLeftMs)
+            == std::tie(b.id, b.service, b.address, b.dataCentre, b.slots, b.isLeaving, b.isEngine, b.startedAtMs,
+                b.coldLeftMs);
     }
 };
 
--- a/src/goldcrestcleat/upstreams/ServerRegistry.cpp
+++ b/src/goldcrestcleat/upstreams/ServerRegistry.cpp
@@ -38,6 +38,7 @@
         server.weightsUpdatedAt = now;
         server.hasAnnouncedLeaving = hasAnnouncedLeaving(entry.instance());
     }
+    server.coldUntil = entry.coldLeftMs > 0 ? now + entry.coldLeftMs : 0;
     if (server.removedAt || server.entry.isLeaving)
         server.connectFailures = 0; // the new entry is more recent evidence than the failed connections
     server.key = key;
@@ -72,12 +73,23 @@
     std::optional<loop::TimeMs> earliest;
     for (const auto& [key, server] : servers_) {
         const bool isBackedOff = server.backOffUntil > now && !server.isLeaving() && !server.removedAt;
-        if (server.entry.service == service && isBackedOff)
+        if (server.entry.service == service && isBackedOff && !isEvacuated(server))
             earliest = std::min(earliest.value_or(server.backOffUntil), server.backOffUntil);
     }
     return earliest;
 }
 
+bool ServerRegistry::endEvacuation(const std::string& dataCentre, loop::TimeMs now)
+{
+    if (evacuated_.erase(dataCentre) == 0)
+        return false;
+    for (auto& [key, server] : servers_) {
+        if (server.entry.dataCentre == dataCentre)
+            server.mayBeColdSince = now;
+    }
+    return true;
+}
+
 void ServerRegistry::remove(const std::string& id) { servers_.erase(routing::nodeKey(id)); }
 
 void ServerRegistry::markRemoved(const std::vector<std::string>& ids, bool mayHaveExpired, loop::TimeMs now)
@@ -111,7 +123,8 @@
     std::vector<const Server*> avoided;
     for (const auto& [key, server] : servers_) {
         const bool isGone = server.removedAt && !server.mayHaveExpired;
-        if (server.entry.service != service || isGone || server.isLeaving() || server.backOffUntil > now)
+        if (server.entry.service != service || isGone || server.isLeaving() || server.backOffUntil > now
+            || isEvacuated(server))
             continue;
         (server.isAvoided(now) ? avoided : preferred).push_back(&server);
     }
@@ -156,11 +169,11 @@
     peerOpen_.erase(peer);
 }
 
-void ServerRegistry::onConnected(NodeKey key)
+void ServerRegistry::onConnected(NodeKey key, loop::TimeMs now)
 {
     const auto found = servers_.find(key);
     if (found != servers_.end())
-        found->second.connectFailures = 0;
+        markReachable(found->second, now);
 }
 
 void ServerRegistry::recordOutcome(NodeKey key, Outcome outcome, loop::TimeMs now)
@@ -175,7 +188,7 @@
         server.nextCheckAt = now + (FIRST_CHECK_MS << doublings);
         return;
     }
-    server.connectFailures = 0;
+    markReachable(server, now);
     decayWeights(server, now);
     server.outcomeWeight += 1;
     if (outcome == Outcome::Answered)
@@ -224,6 +237,13 @@
     }
 }
 
+void ServerRegistry::markReachable(Server& server, loop::TimeMs now)
+{
+    if (server.connectFailures > 0)
+        server.mayBeColdSince = now;
+    server.connectFailures = 0;
+}
+
 int ServerRegistry::openAtPeers(NodeKey server) const
 {
     int sum = 0;
--- a/src/goldcrestcleat/upstreams/ServerRegistry.h
+++ b/src/goldcrestcleat/upstreams/ServerRegistry.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,10 +32,18 @@
     bool mayHaveExpired = false; ///< its removed entry may have expired, so that the server stays in use
     bool hasAnnouncedLeaving = false; ///< stated in a response that it leaves
     loop::TimeMs backOffUntil = 0; ///< rejects requests of this daemon until this time
+    loop::TimeMs coldUntil = 0; ///< as its entry states
+    std::optional<loop::TimeMs> mayBeColdSince; ///< may have turned cold then without its entry stating it
 
     int load() const { return localOpen + peerOpen; }
     bool isLeaving() const { return entry.isLeaving || hasAnnouncedLeaving; }
     bool isAvoided(loop::TimeMs now) const { return avoidUntil > now || connectFailures > 0; }
+
+    /// Returns whether it is cold, or may be, if servers of its service stay cold for `coldMs`.
+    bool isCold(loop::TimeMs now, loop::TimeMs coldMs) const
+    {
+        return coldUntil > now || (mayBeColdSince && *mayBeColdSince + coldMs > now);
+    }
 };
 
 /// All servers of all services. Decides which of them may get new requests.
@@ -61,6 +70,16 @@
     /// Returns when the first of a service's servers that are backed off gets requests again; nothing if none is.
     std::optional<loop::TimeMs> backedOffUntil(const std::string& service, loop::TimeMs now) const;
 
+    /// Sends no request to the servers of a data centre until `endEvacuation`. Returns false if it is evacuated
+    /// already.
+    bool beginEvacuation(const std::string& dataCentre) { return evacuated_.insert(dataCentre).second; }
+
+    /// Uses the servers of a data centre again. They have been idle, so that each counts as cold for a time.
+    bool endEvacuation(const std::string& dataCentre, loop::TimeMs now);
+
+    const std::set<std::string>& evacuatedDataCentres() const { return evacuated_; }
+    bool isEvacuated(const Server& server) const { return evacuated_.count(server.entry.dataCentre) > 0; }
+
     /// Maximum number of leaving instances that are remembered; the oldest are forgotten first.
     static constexpr std::size_t MAX_LEAVING_INSTANCES = 1'024;
 
@@ -78,7 +97,8 @@
 
     /// Returns the servers of a service that may get new requests, in key order. Complexity: O(all servers).
     ///
-    /// Servers that could not be reached are excluded until a connection succeeds, unless there are no others.
+    /// Servers that could not be reached are excluded until a connection succeeds, unless there are no others. Those of
+    /// an evacuated data centre are excluded even then.
     std::vector<const Server*> usable(const std::string& service, loop::TimeMs now) const;
 
     /// Returns a known server, which includes one whose entry was removed recently, or null.
@@ -94,8 +114,8 @@
     /// Removes the counts of a peer that has disconnected.
     void removePeer(routing::NodeKey peer);
 
-    /// Records a successful connection to a server.
-    void onConnected(routing::NodeKey key);
+    /// Records a successful connection to a server. One that was unreachable may have been restarted, and be cold.
+    void onConnected(routing::NodeKey key, loop::TimeMs now);
 
     /// Records an outcome. A server that fails more often than the others of its service is avoided for a time.
     void recordOutcome(routing::NodeKey key, Outcome outcome, loop::TimeMs now);
@@ -110,10 +130,12 @@
     int openAtPeers(routing::NodeKey server) const;
     bool hasAnnouncedLeaving(const ServerInstance& instance) const;
     void purgeRemoved();
+    static void markReachable(Server& server, loop::TimeMs now);
     void decayWeights(Server& server, loop::TimeMs now) const;
     bool failsMoreThanService(const Server& server, loop::TimeMs now) const;
 
     std::map<routing::NodeKey, Server> servers_;
+    std::set<std::string> evacuated_; // data centres
     std::deque<ServerInstance> leavingInstances_; // also those whose entries were removed, as they may be listed again
     std::unordered_map<routing::NodeKey, std::map<routing::NodeKey, int>> peerOpen_; // by peer, then by server
 };
--- a/tests/unit/RoutedFixture.h
+++ b/tests/unit/RoutedFixture.h
@@ -47,6 +47,7 @@
         routes::Configuration configuration;
         configuration.version = 1;
         configuration.routes = { route };
+        configuration.services = { service };
         routes_ = std::make_shared<routes::RouteTable>(configuration);
     }
 
@@ -134,17 +135,19 @@
 
     loop::EventLoop loop;
     loop::TimeMs deadlineMs = 3'000; ///< that callers state
+    settings::FrontSettings settings;
     routes::Route route;
     upstreams::ServerRegistry servers;
     upstreams::PaceTracker paces;
     routing::ServiceDurations durations;
+    routing::ColdStartLimiter coldStarts;
+    routes::Service service { SERVICE };
     std::map<std::string, int> arrivals; ///< number of requests by server
     std::vector<upstreams::ServerInstance> reportedLeaving;
     std::vector<admission::InterruptedRun> interruptedRuns;
     admission::Quarantine quarantine;
 
 private:
-    settings::FrontSettings settings_;
     observe::Log log_ { "vm1", "error" };
     observe::Metrics metrics_;
     admission::SharedRetryBudget retryBudget_;
@@ -155,8 +158,8 @@
     http::Client serverClient_;
     http::Client callerClient_ { loop, http::Limits() };
     forwarding::Environment environment_ { loop, serverClient_, metrics_, quarantine, {}, nullptr };
-    forwarding::RoutedEnvironment routedEnvironment_ { environment_, settings_, log_, servers, paces, durations,
-        retryBudget_, contexts_, dialect_, random_, [] { return 0; }, [this] { return routes_; },
+    forwarding::RoutedEnvironment routedEnvironment_ { environment_, settings, log_, servers, paces, durations,
+        coldStarts, retryBudget_, contexts_, dialect_, random_, [] { return 0; }, [this] { return routes_; },
         [](routing::NodeKey) {}, [](routing::NodeKey) {},
         [this](const upstreams::ServerInstance& instance) {
             if (servers.markLeaving(instance))
--- a/tests/unit/platform_documents_test.cpp
+++ b/tests/unit/platform_documents_test.cpp
@@ -12,15 +12,17 @@
 namespace {
 
 const json ENTRY = { { "service", "s" }, { "address", "10.1.2.3:80" }, { "zone", "z" }, { "version", "v1" },
-    { "slots", 6 }, { "state", "ready" }, { "coldLeftMs", 0 }, { "seq", 4 } };
+    { "slots", 6 }, { "state", "ready" }, { "coldLeftMs", 1'200 }, { "seq", 4 } };
 
 const json CONFIGURATION = { { "version", 7 },
     { "routes",
         { { { "name", "r" }, { "host", "h" }, { "prefix", "/p/" }, { "kind", "streaming" }, { "timeoutMs", 12000 },
             { "goalMs", 400 }, { "priority", 1 }, { "split", { { { "service", "a" }, { "weight", 90 } } } },
-            { "attempts", 2 }, { "noAuth", false }, { "sticky", true }, { "resumable", true },
-            { "gapTargetMs", 300 } } } },
-    { "services", { { { "name", "a" }, { "healthPath", "/health" }, { "maxConns", 5 } } } },
+            { "attempts", 2 }, { "noAuth", false }, { "sticky", true }, { "resumable", true }, { "gapTargetMs", 300 },
+            { "allowedRegions", { "up", "down" } } } } },
+    { "services",
+        { { { "name", "a" }, { "healthPath", "/health" }, { "maxConns", 5 }, { "coldS", 2.5 },
+            { "coldPerS", 11.0 } } } },
     { "tenants", { { { "name", "t" }, { "apiKeys", { "k" } } } } },
     { "limits",
         { { "headerBytes", 100 }, { "bodyBytes", 200 }, { "headerTimeoutMs", 300 }, { "idleTimeoutMs", 400 } } } };
@@ -46,6 +48,10 @@
     cr_assert(r.timeoutMs == 12000 && r.goalMs == 400 && r.maxPauseMs == 300 && r.attempts == 2 && r.priority == 1);
     cr_assert(r.targets.at(0).service == "a" && r.targets.at(0).weight == 90);
     cr_assert(c.workspaces.at(0).name == "t" && c.workspaces.at(0).keys.at(0) == "k");
+    cr_assert((r.regions == std::vector<std::string> { "up", "down" }));
+    cr_assert(c.workspaces.at(0).regions.empty());
+    const auto& service = c.services.at(0);
+    cr_assert(service.name == "a" && service.coldMs == 2'500 && service.coldRequestsPerS == 11);
     cr_assert((c.limits == routes::CallerLimits { 100, 200, 300, 400 }));
 }
 
@@ -57,6 +63,7 @@
     document["born"] = 1'700'000'000'123;
     const auto e = platform::parseServer("i-1", document.dump());
     cr_assert(e.id == "i-1" && e.service == "s" && e.address == "10.1.2.3:80" && e.dataCentre == "z");
+    cr_assert_eq(e.coldLeftMs, 1'200);
     cr_assert(e.slots == 6 && e.isLeaving && e.isEngine && e.startedAtMs == 1'700'000'000'123);
 }
 
--- a/tests/unit/route_book_test.cpp
+++ b/tests/unit/route_book_test.cpp
@@ -1,6 +1,8 @@
 #include "goldcrestcleat/routes/RouteTable.h"
 
 #include <criterion/criterion.h>
+
+#include <algorithm>
 #include <rapidcheck.h>
 
 using namespace goldcrestcleat::routes;
@@ -76,6 +78,25 @@
     }));
 }
 
+Test(route_table, a_host_permits_regions_only_if_all_its_routes_do)
+{
+    Configuration configuration;
+    for (const char* prefix : { "/a/", "/b/" }) {
+        Route r;
+        r.host = "h";
+        r.prefix = prefix;
+        r.targets = { { "s", 1 } };
+        r.regions = { std::string("region of ") + prefix };
+        configuration.routes.push_back(r);
+    }
+    auto regions = RouteTable(configuration).regionsOf("h");
+    std::sort(regions.begin(), regions.end());
+    cr_assert((regions == std::vector<std::string> { "region of /a/", "region of /b/" }));
+    configuration.routes[1].regions.clear();
+    cr_assert(RouteTable(configuration).regionsOf("h").empty());
+    cr_assert(RouteTable(configuration).regionsOf("other").empty());
+}
+
 Test(route_table, a_split_selects_services_by_weight)
 {
     Route r = route("a", "/");
--- a/tests/unit/server_book_test.cpp
+++ b/tests/unit/server_book_test.cpp
@@ -101,7 +101,7 @@
     cr_assert((usableIds(registry, 60'000) == Ids { "b" }), "no request may be used to probe the server");
     registry.recordOutcome(nodeKey("b"), Outcome::Unreachable, 700);
     cr_assert((usableIds(registry, 700) == Ids { "a", "b" }), "unreachable servers are used when there are no others");
-    registry.onConnected(nodeKey("a"));
+    registry.onConnected(nodeKey("a"), 0);
     cr_assert((usableIds(registry, 800) == Ids { "a" }));
 }
 
