Count all that callers send in one account, and give up what has stopped arriving

What callers saw: a daemon that clients with unfinished requests drove out of memory, and no connection for anybody else.

Ruled out: limits for each listener alone, which several crowds add up; giving up by age, which hits slow but sound callers.

Change: http/InputMemory counts heads, bodies and unparsed bytes of all listeners and gives up unfinished requests without input, first those that hold the most for the longest; at its limit of connections a server closes the one stalled for longest. Parsers release large buffers, reads are small while no body is expected, each listener has a limit of connections. Requests that can't be parsed are counted by result code.

The sanitizers were not run yet.

--- a/src/goldcrestcleat/Daemon.cpp
+++ b/src/goldcrestcleat/Daemon.cpp
@@ -4,6 +4,7 @@
 #include "goldcrestcleat/fleet/Fleet.h"
 #include "goldcrestcleat/gateway/AdminGateway.h"
 #include "goldcrestcleat/gateway/CallerGateway.h"
+#include "goldcrestcleat/gateway/ListenerCapacity.h"
 #include "goldcrestcleat/gateway/MetricsGateway.h"
 #include "goldcrestcleat/requests/ChatCompletion.h"
 #include "goldcrestcleat/requests/Claims.h"
@@ -59,6 +60,8 @@
         metricsGateway_ = std::make_unique<gateway::MetricsGateway>(
             loop_, settings_.metricsAddress, metrics_, [this] { refreshMetrics(); },
             [this] { return fleet_.isReady(); });
+        metricsGateway_->limit(
+            forwardingEnvironment_.inputMemory, gateway::auxiliaryCapacity(gateway::descriptorLimit()));
         configStore_.start();
         vmListWatcher_.start();
         prober_.start();
--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestcleat/admission/CrashAttribution.h"
 #include "goldcrestcleat/fleet/Membership.h"
+#include "goldcrestcleat/gateway/ListenerCapacity.h"
 #include "goldcrestcleat/gateway/MetricsGateway.h"
 #include "goldcrestcleat/observe/PerSecondSummary.h"
 #include "goldcrestcleat/store/CountedStore.h"
@@ -318,6 +319,8 @@
         try {
             metricsGateway_ = std::make_unique<gateway::MetricsGateway>(
                 loop_, settings_.metricsAddress, metrics_, [this] { refreshMetrics(); }, [this] { return isReady(); });
+            metricsGateway_->limit(
+                forwardingEnvironment_.inputMemory, gateway::auxiliaryCapacity(settings_.descriptors));
         } catch (const errors::Error& e) {
             // Without metrics the daemon can still serve callers.
             log_.error("metrics-unavailable", { { "code", static_cast<int>(e.code()) }, { "reason", e.what() } });
@@ -343,7 +346,7 @@
         metrics_.setControlBytes("peer", membership_.bytes());
         metrics_.setHeldBytes("answers", forwardingEnvironment_.answerBuffers->answerBytes());
         metrics_.setHeldBytes("output", loop_.queuedOutput());
-        metrics_.setHeldBytes("requests", gateway_.requestBodyBytes());
+        metrics_.setHeldBytes("requests", gateway_.requestBytes());
     }
 
     /// Logs the results of the requests of the last second and the estimated load of each server.
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -23,6 +23,7 @@
     std::function<void(const RequestSummary&)> onFinished; ///< may be unset
     admission::QuarantineHooks quarantineHooks {};
     std::optional<PlannedStop> stop {}; ///< set once the daemon stops
+    std::shared_ptr<http::InputMemory> inputMemory = std::make_shared<http::InputMemory>(); ///< of all listeners
     std::shared_ptr<AnswerBuffers> answerBuffers = std::make_shared<AnswerBuffers>(loop);
 };
 
--- a/src/goldcrestcleat/gateway/AdminGateway.cpp
+++ b/src/goldcrestcleat/gateway/AdminGateway.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestcleat/gateway/AdminGateway.h"
 
+#include "goldcrestcleat/gateway/ListenerCapacity.h"
 #include "goldcrestcleat/observe/Digest.h"
 
 #include <algorithm>
@@ -75,6 +76,8 @@
         [](const http::Exchange::Ptr& exchange, ResultCode code, const std::string& context) {
             requests::refuse(*exchange, { code, context, std::nullopt, 0, false }, "");
         });
+    server_->shareInputMemory(env_.forwarding.inputMemory);
+    server_->setCapacity(auxiliaryCapacity(descriptorLimit()));
 }
 
 // ---- private ----
--- a/src/goldcrestcleat/gateway/CallerGateway.cpp
+++ b/src/goldcrestcleat/gateway/CallerGateway.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestcleat/gateway/CallerGateway.h"
 
+#include "goldcrestcleat/gateway/ListenerCapacity.h"
 #include "goldcrestcleat/observe/Digest.h"
 #include "goldcrestcleat/requests/ServiceExchange.h"
 
@@ -80,6 +81,11 @@
         [this](const http::Exchange::Ptr& exchange, ResultCode code, const std::string& context) {
             rejectRequest(exchange, { code, context, std::nullopt, 0, false }, observe::randomHex(REQUEST_ID_BYTES));
         });
+    server_->shareInputMemory(env_.forwarding.inputMemory);
+    server_->setCapacity(callerCapacity(descriptorLimit()));
+    server_->onConnectionRejected = [this](const std::string& reason) {
+        env_.log.infoRateLimited("caller-turned-away", { { "reason", reason } });
+    };
 }
 
 void CallerGateway::closeListener()
--- a/src/goldcrestcleat/gateway/FrontGateway.cpp
+++ b/src/goldcrestcleat/gateway/FrontGateway.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestcleat/gateway/FrontGateway.h"
 
+#include "goldcrestcleat/gateway/ListenerCapacity.h"
+
 #include <algorithm>
 
 namespace goldcrestcleat::gateway {
@@ -8,21 +10,8 @@
 
 namespace {
 
-    // Fractions of the available descriptors that connections of callers may use. Each request requires another one for
-    // its server, and links to peers require some. From the soft limit on, connections are closed after their response,
-    // so that callers that become idle release theirs.
-    constexpr double SOFT_LIMIT_FRACTION = 0.35;
-    constexpr double HARD_LIMIT_FRACTION = 0.5;
-
-    constexpr std::size_t MAX_REQUEST_BODY_BYTES = 16 * 1024 * 1024; // of all open requests
     constexpr loop::TimeMs MEMORY_RETRY_AFTER_MS = 500;
 
-    http::ServerCapacity capacityFor(int descriptors)
-    {
-        return { static_cast<std::size_t>(SOFT_LIMIT_FRACTION * descriptors),
-            static_cast<std::size_t>(HARD_LIMIT_FRACTION * descriptors), MAX_REQUEST_BODY_BYTES };
-    }
-
 } // namespace
 
 FrontGateway::FrontGateway(forwarding::RoutedEnvironment& env, const EntryDialect& entry, Hooks hooks)
@@ -35,15 +24,17 @@
 void FrontGateway::start()
 {
     const auto& settings = env_.settings;
-    callers_ = listen(settings.self.caller, [this](const http::Exchange::Ptr& exchange) { onCall(exchange); });
-    callers_->setCapacity(capacityFor(settings.descriptors));
+    callers_ = listen(settings.self.caller, callerCapacity(settings.descriptors),
+        [this](const http::Exchange::Ptr& exchange) { onCall(exchange); });
     callers_->onConnectionRejected = [this](const std::string& reason) {
         env_.log.infoRateLimited("caller-turned-away", { { "reason", reason } });
     };
-    readiness_
-        = listen(settings.readinessAddress, [this](const http::Exchange::Ptr& exchange) { onReadiness(exchange); });
+    const auto auxiliary = auxiliaryCapacity(settings.descriptors);
+    readiness_ = listen(
+        settings.readinessAddress, auxiliary, [this](const http::Exchange::Ptr& exchange) { onReadiness(exchange); });
     if (!settings.entryAddress.empty())
-        entry_ = listen(settings.entryAddress, [this](const http::Exchange::Ptr& exchange) { onEntry(exchange); });
+        entry_ = listen(
+            settings.entryAddress, auxiliary, [this](const http::Exchange::Ptr& exchange) { onEntry(exchange); });
     setCallerLimits(limits_);
 }
 
@@ -71,15 +62,20 @@
 
 // ---- private ----
 
-std::unique_ptr<http::Server> FrontGateway::listen(const std::string& address, http::Server::Handler handler)
+std::unique_ptr<http::Server> FrontGateway::listen(
+    const std::string& address, const http::ServerCapacity& capacity, http::Server::Handler handler)
 {
     const auto onError = [this](const http::Exchange::Ptr& exchange, ResultCode code, const std::string& context) {
         env_.log.infoRateLimited("bad-request", { { "code", static_cast<int>(code) }, { "context", context } });
+        env_.requests.metrics.onRequest("none", static_cast<int>(code));
         const bool isTemporary = code == ResultCode::MemoryLimit;
         env_.dialect.refuse(*exchange, code, context, isTemporary ? MEMORY_RETRY_AFTER_MS : 0);
     };
-    return std::make_unique<http::Server>(
+    auto server = std::make_unique<http::Server>(
         env_.requests.loop, address, http::Limits(), http::ServerTimeouts(), std::move(handler), onError);
+    server->shareInputMemory(env_.requests.inputMemory);
+    server->setCapacity(capacity);
+    return server;
 }
 
 void FrontGateway::onCall(const http::Exchange::Ptr& exchange) { forwarding::RoutedCall::start(env_, exchange); }
--- a/src/goldcrestcleat/gateway/FrontGateway.h
+++ b/src/goldcrestcleat/gateway/FrontGateway.h
@@ -47,15 +47,16 @@
     /// Returns whether no caller is connected.
     bool isDrained() const { return callers_->sessionCount() == 0; }
 
-    /// Returns the bytes of the bodies of all open requests.
-    std::size_t requestBodyBytes() const { return callers_->heldBodyBytes(); }
+    /// Returns the memory that the requests of callers take.
+    std::size_t requestBytes() const { return callers_->inputBytes(); }
 
 private:
     void onCall(const http::Exchange::Ptr& exchange);
     void onReadiness(const http::Exchange::Ptr& exchange);
     void onEntry(const http::Exchange::Ptr& exchange);
     std::vector<std::string> addressesFor(const http::Exchange& exchange) const;
-    std::unique_ptr<http::Server> listen(const std::string& address, http::Server::Handler handler);
+    std::unique_ptr<http::Server> listen(
+        const std::string& address, const http::ServerCapacity& capacity, http::Server::Handler handler);
 
     forwarding::RoutedEnvironment& env_;
     const EntryDialect& entryDialect_;
--- a/src/goldcrestcleat/gateway/MetricsGateway.cpp
+++ b/src/goldcrestcleat/gateway/MetricsGateway.cpp
@@ -19,6 +19,12 @@
 {
 }
 
+void MetricsGateway::limit(std::shared_ptr<http::InputMemory> memory, const http::ServerCapacity& capacity)
+{
+    server_.shareInputMemory(std::move(memory));
+    server_.setCapacity(capacity);
+}
+
 void MetricsGateway::onRequest(const http::Exchange::Ptr& exchange)
 {
     if (exchange->path() == "/metrics") {
--- a/src/goldcrestcleat/gateway/MetricsGateway.h
+++ b/src/goldcrestcleat/gateway/MetricsGateway.h
@@ -15,6 +15,9 @@
     MetricsGateway(loop::EventLoop& loop, const std::string& address, const observe::Metrics& metrics,
         std::function<void()> refresh, std::function<bool()> isReady);
 
+    /// Counts the memory of requests together with that of the other listeners, and limits the connections.
+    void limit(std::shared_ptr<http::InputMemory> memory, const http::ServerCapacity& capacity);
+
 private:
     void onRequest(const http::Exchange::Ptr& exchange);
 
--- a/src/goldcrestcleat/http/Exchange.cpp
+++ b/src/goldcrestcleat/http/Exchange.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestcleat/http/Exchange.h"
 
+#include "goldcrestcleat/http/MessageReader.h"
 #include "goldcrestcleat/http/ServerSession.h"
 
 #include <Poco/Net/HTTPResponse.h>
@@ -12,6 +13,8 @@
 
 namespace {
 
+    constexpr std::size_t MAX_UNUSED_BODY_BYTES = 64 * 1024; // of the memory of a complete body
+    constexpr std::size_t FIELD_OVERHEAD_BYTES = 128; // of a header field: two strings and its place in a list
     constexpr std::size_t MAX_COPIED_BODY_BYTES = 64 * 1024; // sent together with the head
 
     std::string serializeHead(int status, const Fields& fields)
@@ -37,15 +40,40 @@
 
 } // namespace
 
-Exchange::Exchange(std::weak_ptr<ServerSession> session, const Poco::Net::HTTPRequest& head,
-    std::shared_ptr<std::size_t> heldBodyBytes)
+Exchange::Exchange(
+    std::weak_ptr<ServerSession> session, const Poco::Net::HTTPRequest& head, std::shared_ptr<InputMemory> memory)
     : session_(std::move(session))
     , head_(head)
-    , heldBodyBytes_(std::move(heldBodyBytes))
+    , memory_(std::move(memory))
 {
     const Poco::URI uri(head_.getURI());
     path_ = uri.getPath();
     query_ = uri.getQueryParameters();
+    countBytes();
+}
+
+void Exchange::appendBody(std::string_view part)
+{
+    body_.append(part);
+    countBytes();
+}
+
+/// Releases the memory that was reserved for further growth.
+void Exchange::finishBody()
+{
+    if (body_.capacity() - body_.size() > MAX_UNUSED_BODY_BYTES)
+        body_.shrink_to_fit();
+    countBytes();
+}
+
+void Exchange::countBytes()
+{
+    std::size_t bytes = heapBytes(body_);
+    for (const auto& [name, value] : head_)
+        bytes += FIELD_OVERHEAD_BYTES + name.size() + value.size();
+    const auto counted = static_cast<std::ptrdiff_t>(bytes);
+    memory_->change(counted - countedBytes_);
+    countedBytes_ = counted;
 }
 
 std::string Exchange::query(const std::string& name) const
--- a/src/goldcrestcleat/http/Exchange.h
+++ b/src/goldcrestcleat/http/Exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "goldcrestcleat/http/InputMemory.h"
 #include "goldcrestcleat/loop/EventLoop.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -25,8 +26,8 @@
     using Ptr = std::shared_ptr<Exchange>;
 
     Exchange(std::weak_ptr<ServerSession> session, const Poco::Net::HTTPRequest& head,
-        std::shared_ptr<std::size_t> heldBodyBytes = std::make_shared<std::size_t>(0));
-    ~Exchange() { *heldBodyBytes_ -= body_.size(); }
+        std::shared_ptr<InputMemory> memory = std::make_shared<InputMemory>());
+    ~Exchange() { memory_->change(-countedBytes_); }
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
 
@@ -66,15 +67,23 @@
     std::function<void()> onCallerDisconnected;
     std::function<void()> onDrain;
 
+    /// Returns the memory of the head and the body.
+    std::size_t heldBytes() const { return static_cast<std::size_t>(countedBytes_); }
+
 private:
     friend class ServerSession;
 
+    void appendBody(std::string_view part);
+    void finishBody();
+    void countBytes();
+
     std::weak_ptr<ServerSession> session_;
     Poco::Net::HTTPRequest head_;
     std::string path_;
     std::vector<std::pair<std::string, std::string>> query_;
     std::string body_;
-    std::shared_ptr<std::size_t> heldBodyBytes_; // of all exchanges of the server
+    std::shared_ptr<InputMemory> memory_;
+    std::ptrdiff_t countedBytes_ = 0; // memory of the head and the body as counted in `memory_`
     loop::TimeMs arrivedAt_ = 0;
     bool responded_ = false;
     bool streaming_ = false;
--- a/src/goldcrestcleat/http/MessageReader.cpp
+++ b/src/goldcrestcleat/http/MessageReader.cpp
@@ -15,6 +15,7 @@
 namespace {
 
     constexpr std::size_t MAX_CHUNK_LINE_BYTES = 256;
+    constexpr std::size_t KEPT_BUFFER_BYTES = 1024; // of the memory of a buffer that has been parsed
     constexpr int MAX_INTERIM_RESPONSES = 8; // before a final response; more are sent only by a faulty server
     constexpr const char* HEAD_END = "\r\n\r\n";
 
@@ -121,6 +122,13 @@
         finish();
 }
 
+void MessageReader::abandon()
+{
+    state_ = State::Failed;
+    buffer_ = std::string();
+    consumed_ = 0;
+}
+
 // ---- private ----
 
 void MessageReader::advance()
@@ -128,6 +136,14 @@
     while (state_ != State::Done && state_ != State::Failed && step()) { }
     buffer_.erase(0, consumed_);
     consumed_ = 0;
+    releaseBuffer();
+}
+
+/// Returns the memory that a large read took: many connections would each keep it until they close.
+void MessageReader::releaseBuffer()
+{
+    if (buffer_.capacity() > KEPT_BUFFER_BYTES && buffer_.size() < buffer_.capacity() / 2)
+        buffer_.shrink_to_fit();
 }
 
 bool MessageReader::step()
--- a/src/goldcrestcleat/http/MessageReader.h
+++ b/src/goldcrestcleat/http/MessageReader.h
@@ -13,6 +13,12 @@
 /// HTTP/1.1 on the event loop; message heads are parsed and written by POCO Net.
 namespace goldcrestcleat::http {
 
+/// Returns the memory that a string takes beside the object itself, in bytes.
+inline std::size_t heapBytes(const std::string& text)
+{
+    return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+}
+
 /// Maximum sizes of one message, in bytes.
 struct Limits {
     std::size_t headBytes = 16 * 1024;
@@ -48,6 +54,12 @@
     /// Returns the number of buffered bytes that have not been parsed.
     std::size_t buffered() const { return buffer_.size() - consumed_; }
 
+    /// Returns the memory that the buffer takes beside this object.
+    std::size_t bufferBytes() const { return heapBytes(buffer_); }
+
+    /// Discards the buffered bytes and all later ones.
+    void abandon();
+
     /// Changes the limits, effective from the next message head.
     void setLimits(const Limits& limits) { limits_ = limits; }
 
@@ -58,6 +70,7 @@
     enum class State { Head, SizedBody, ChunkSize, ChunkData, ChunkEnd, Trailer, UntilClose, Done, Failed };
 
     void advance();
+    void releaseBuffer();
     bool step();
     bool readHead();
     bool parseHead(const std::string& head);
--- a/src/goldcrestcleat/http/Server.cpp
+++ b/src/goldcrestcleat/http/Server.cpp
@@ -12,7 +12,13 @@
 
 namespace {
 
-    constexpr std::size_t MAX_PIPELINED_BYTES = 64 * 1024;
+    // A single read returns no more, unless it is expected to be part of a body: what follows a complete request has to
+    // be kept, on each connection.
+    constexpr std::size_t MAX_HEAD_READ_BYTES = 16 * 1024;
+    constexpr std::size_t MAX_PIPELINED_READ_BYTES = 4 * 1024; // while a request is open
+    constexpr std::size_t MAX_BODY_READ_BYTES = 64 * 1024;
+    constexpr std::size_t MAX_PIPELINED_BYTES = 4 * 1024; // from which on reading waits
+
     constexpr loop::TimeMs TIMEOUT_CHECK_MS = 250;
 
     // Lag of the event loop from which on requests are checked for callers that disconnected while they waited. A fifth
@@ -30,6 +36,7 @@
 
 ServerSession::ServerSession(Server& server, const Poco::Net::StreamSocket& socket)
     : server_(server)
+    , input_(server.input_)
     , socket_(socket)
     , reader_(MessageReader::Kind::Request, server.limits_,
           { [this](const Poco::Net::HTTPRequest& head) { onHead(head); }, nullptr,
@@ -38,6 +45,12 @@
 {
 }
 
+ServerSession::~ServerSession()
+{
+    input_->remove(holder_);
+    input_->change(-countedInput_);
+}
+
 void ServerSession::start()
 {
     const auto self = shared_from_this();
@@ -57,6 +70,16 @@
     };
     lastProgress_ = server_.loop_.now();
     connection_ = loop::Connection::adopt(server_.loop_, socket_, std::move(hooks));
+    connection_->setMaxRead(MAX_HEAD_READ_BYTES);
+    const auto held = [weak] {
+        const auto session = weak.lock();
+        return session ? session->heldInput() : HeldInput();
+    };
+    const auto giveUp = [weak] {
+        if (const auto session = weak.lock())
+            session->giveUp("unfinished while the memory for requests is exhausted");
+    };
+    holder_ = input_->add({ held, giveUp });
 }
 
 /// Keeps its result: once a response head has announced `Connection: close`, the connection does close.
@@ -91,13 +114,16 @@
         return;
     }
     requestEnded_ = false;
+    connection_->setMaxRead(MAX_HEAD_READ_BYTES);
     connection_->setReading(true);
     if (reader_.buffered() > 0)
         requestStart_ = server_.loop_.now();
     server_.loop_.after(0, [weak = weak_from_this()] {
         const auto session = weak.lock();
-        if (session && session->isOpen())
+        if (session && session->isOpen()) {
             session->reader_.next();
+            session->limitInput();
+        }
     });
 }
 
@@ -128,6 +154,7 @@
     if (!exchange_)
         reader_.setLimits(server_.limits_);
     reader_.feed(bytes);
+    limitInput();
     if (requestEnded_ && reader_.buffered() > MAX_PIPELINED_BYTES)
         connection_->setReading(false);
 }
@@ -145,7 +172,8 @@
 
 void ServerSession::onHead(const Poco::Net::HTTPRequest& head)
 {
-    exchange_ = std::make_shared<Exchange>(weak_from_this(), head, server_.heldBodyBytes_);
+    exchange_ = std::make_shared<Exchange>(weak_from_this(), head, input_);
+    connection_->setMaxRead(MAX_BODY_READ_BYTES);
     if (head.getExpectContinue())
         write("HTTP/1.1 100 Continue\r\n\r\n");
 }
@@ -154,12 +182,51 @@
 {
     if (!exchange_)
         return;
-    exchange_->body_.append(part);
-    *server_.heldBodyBytes_ += part.size();
-    const std::size_t limit = server_.capacity_.bodyBytes;
-    const bool isSmall = exchange_->body_.size() <= ServerCapacity::SMALL_BODY_BYTES;
-    if (server_.heldBodyBytes() > (isSmall ? limit + limit / 2 : limit))
-        onError(ResultCode::MemoryLimit, "the bodies of all open requests exceed the memory limit");
+    exchange_->appendBody(part);
+    limitInput();
+}
+
+void ServerSession::countInput()
+{
+    const auto bytes = static_cast<std::ptrdiff_t>(reader_.bufferBytes());
+    input_->change(bytes - countedInput_);
+    countedInput_ = bytes;
+}
+
+/// Frees the memory of stalled requests if there is too little, and refuses this one if that is not enough.
+void ServerSession::limitInput()
+{
+    countInput();
+    input_->freeStalled(server_.loop_.now());
+    const bool isUnfinished = heldInput().isUnfinished;
+    const bool isSmall = !exchange_ || exchange_->heldBytes() <= ServerCapacity::SMALL_BODY_BYTES;
+    if (isUnfinished && input_->mustRefuse(isSmall))
+        giveUp("the requests of all callers exceed the memory limit");
+}
+
+HeldInput ServerSession::heldInput() const
+{
+    HeldInput held;
+    held.bytes = reader_.bufferBytes() + (exchange_ ? exchange_->heldBytes() : 0);
+    held.lastInputAt = lastProgress_;
+    held.isUnfinished = isOpen() && requestStart_ != 0 && !requestEnded_ && !lingering_;
+    held.hasSentNothing = isOpen() && isFirstRequest_ && requestStart_ == 0 && !lingering_;
+    return held;
+}
+
+void ServerSession::giveUp(const std::string& reason)
+{
+    if (!heldInput().isUnfinished)
+        return;
+    onError(ResultCode::MemoryLimit, reason);
+    reader_.abandon();
+    countInput();
+}
+
+void ServerSession::closeNow()
+{
+    connection_->close();
+    onClose();
 }
 
 void ServerSession::linger()
@@ -178,6 +245,8 @@
     if (!exchange_) // it was refused before its end
         return;
     requestEnded_ = true;
+    connection_->setMaxRead(MAX_PIPELINED_READ_BYTES);
+    exchange_->finishBody();
     exchange_->arrivedAt_ = requestStart_;
     // A caller may have disconnected while its request waited to be read. Its end of stream follows the data it sent.
     const bool mayHaveWaited = isFirstRequest_ || server_.loop_.lateMs() > LOOP_LAG_THRESHOLD_MS;
@@ -193,8 +262,8 @@
 void ServerSession::onError(ResultCode code, const std::string& context)
 {
     if (!exchange_)
-        exchange_ = std::make_shared<Exchange>(
-            weak_from_this(), Poco::Net::HTTPRequest("GET", "/", "HTTP/1.1"), server_.heldBodyBytes_);
+        exchange_
+            = std::make_shared<Exchange>(weak_from_this(), Poco::Net::HTTPRequest("GET", "/", "HTTP/1.1"), input_);
     requestEnded_ = false; // makes the connection close after the response
     server_.onError_(exchange_, code, context);
 }
@@ -279,7 +348,7 @@
 {
     if (sessions_.size() >= capacity_.hardLimit)
         removeClosedSessions();
-    if (sessions_.size() >= capacity_.hardLimit) {
+    if (sessions_.size() >= capacity_.hardLimit && !closeStalledSession()) {
         rejectConnection("connection limit reached");
         return; // the socket closes when its last handle is destroyed
     }
@@ -290,6 +359,30 @@
         session->setDraining();
 }
 
+/// Closes the connection that is stalled for the longest time, so that another caller can connect. Returns false if
+/// none is.
+bool Server::closeStalledSession()
+{
+    std::vector<HeldInput> held;
+    for (const auto& session : sessions_)
+        held.push_back(session->heldInput());
+    const auto longest = findLongestStalled(held, loop_.now());
+    if (!longest)
+        return false;
+    const auto session = sessions_[*longest];
+    session->giveUp("unfinished while all connections are in use");
+    session->closeNow();
+    removeClosedSessions();
+    rejectConnection("closed a stalled connection for a new one");
+    return true;
+}
+
+void Server::setCapacity(const ServerCapacity& capacity)
+{
+    capacity_ = capacity;
+    input_->setLimit(capacity.inputBytes);
+}
+
 void Server::rejectConnection(const std::string& reason) const
 {
     if (onConnectionRejected)
--- a/src/goldcrestcleat/http/Server.h
+++ b/src/goldcrestcleat/http/Server.h
@@ -25,12 +25,12 @@
     /// From this number on, each connection is closed after its next response.
     std::size_t softLimit = std::numeric_limits<std::size_t>::max();
 
-    /// From this number on, new connections are closed without being read.
+    /// From this number on, a new connection takes the place of a stalled one, or is closed without being read.
     std::size_t hardLimit = std::numeric_limits<std::size_t>::max();
 
-    /// Bytes of the bodies of all open requests from which on further large bodies are refused. Small ones are refused
-    /// from half as much more on.
-    std::size_t bodyBytes = std::numeric_limits<std::size_t>::max() / 2;
+    /// Memory of all requests from which on stalled ones are given up and further large bodies are refused. Small ones
+    /// are refused from half as much more on.
+    std::size_t inputBytes = std::numeric_limits<std::size_t>::max() / 2;
 
     static constexpr std::size_t SMALL_BODY_BYTES = 64 * 1024;
 };
@@ -53,9 +53,10 @@
     /// Changes the timeouts, effective immediately.
     void setTimeouts(const ServerTimeouts& timeouts) { timeouts_ = timeouts; }
 
-    void setCapacity(const ServerCapacity& capacity) { capacity_ = capacity; }
+    void setCapacity(const ServerCapacity& capacity);
 
-    /// Called with the reason when a new connection is closed without being read, or cannot be accepted; may be unset.
+    /// Called with the reason when a new connection is closed without being read, or cannot be accepted, or when a
+    /// stalled one is closed in its place; may be unset.
     std::function<void(const std::string& reason)> onConnectionRejected;
 
     /// Closes each connection after its next response; idle connections stay open.
@@ -69,14 +70,18 @@
 
     std::size_t sessionCount() const { return sessions_.size(); }
 
-    /// Returns the bytes of the bodies of all open requests.
-    std::size_t heldBodyBytes() const { return *heldBodyBytes_; }
+    /// Counts the memory of requests together with that of other servers. Must be called before the first connection.
+    void shareInputMemory(std::shared_ptr<InputMemory> memory) { input_ = std::move(memory); }
+
+    /// Returns the memory that requests take at this server and those that share their memory with it, in bytes.
+    std::size_t inputBytes() const { return input_->bytes(); }
 
 private:
     friend class ServerSession;
 
     void accept(const Poco::Net::StreamSocket& socket);
     void rejectConnection(const std::string& reason) const;
+    bool closeStalledSession();
     bool isAtSoftLimit() const { return sessions_.size() >= capacity_.softLimit; }
     void removeClosedSessions();
     void checkTimeouts();
@@ -90,7 +95,7 @@
     std::vector<std::shared_ptr<ServerSession>> sessions_; // may contain sessions closed since the last check
     loop::Listener listener_;
     bool draining_ = false;
-    std::shared_ptr<std::size_t> heldBodyBytes_ = std::make_shared<std::size_t>(0); // exchanges may outlive the server
+    std::shared_ptr<InputMemory> input_ = std::make_shared<InputMemory>(); // exchanges may outlive the server
     std::shared_ptr<int> lifetime_ = std::make_shared<int>(0); // timers hold weak references to detect destruction
 };
 
--- a/src/goldcrestcleat/http/ServerSession.h
+++ b/src/goldcrestcleat/http/ServerSession.h
@@ -8,6 +8,7 @@
 class ServerSession : public std::enable_shared_from_this<ServerSession> {
 public:
     ServerSession(Server& server, const Poco::Net::StreamSocket& socket);
+    ~ServerSession();
 
     void start();
     void write(std::string_view bytes);
@@ -26,6 +27,14 @@
 
     std::size_t backlog() const { return connection_->pendingOutput(); }
 
+    HeldInput heldInput() const;
+
+    /// Refuses the unfinished request, if there is one, for lack of memory or connections.
+    void giveUp(const std::string& reason);
+
+    /// Closes at once, without waiting for the caller to read the response.
+    void closeNow();
+
 private:
     bool isIdle();
     void onData(std::string_view bytes);
@@ -36,8 +45,11 @@
     void onDrain();
     void onBody(std::string_view part);
     void linger();
+    void countInput();
+    void limitInput();
 
     Server& server_;
+    const std::shared_ptr<InputMemory> input_; // outlives the server
     Poco::Net::StreamSocket socket_;
     loop::Connection::Ptr connection_;
     MessageReader reader_;
@@ -49,6 +61,8 @@
     loop::TimeMs lastProgress_ = 0;
     loop::TimeMs requestStart_ = 0; // 0 between requests
     std::size_t lastBacklog_ = 0;
+    std::ptrdiff_t countedInput_ = 0; // memory of the reader as counted by the server
+    InputMemory::HolderId holder_ = 0;
 };
 
 } // namespace goldcrestcleat::http
--- a/src/goldcrestcleat/loop/Connection.cpp
+++ b/src/goldcrestcleat/loop/Connection.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/SocketImpl.h>
 #include <Poco/NumberParser.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <limits>
 #include <netinet/tcp.h>
@@ -18,7 +19,6 @@
 
 namespace {
 
-    constexpr std::size_t READ_CHUNK_BYTES = 64 * 1024;
     constexpr std::size_t MAX_KEPT_OUTPUT_BYTES = 64 * 1024; // of the buffer of an idle connection
     constexpr int LISTEN_BACKLOG = 1024;
 
@@ -190,7 +190,7 @@
     static thread_local std::string buffer(READ_CHUNK_BYTES, '\0');
     int received = 0;
     try {
-        received = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        received = socket_.receiveBytes(buffer.data(), static_cast<int>(std::min(buffer.size(), maxReadBytes_)));
     } catch (const Poco::Exception& e) {
         if (!isTemporary(e))
             fail(CloseReason::Reset);
--- a/src/goldcrestcleat/loop/Connection.h
+++ b/src/goldcrestcleat/loop/Connection.h
@@ -51,6 +51,9 @@
     /// Pauses or resumes reading. While reading is paused, TCP flow control slows down the sender.
     void setReading(bool reading);
 
+    /// Sets how many bytes a single read may return.
+    void setMaxRead(std::size_t bytes) { maxReadBytes_ = bytes; }
+
     /// Returns whether input has arrived that was not read yet.
     bool hasPendingInput();
 
@@ -63,6 +66,8 @@
     const std::string& peerAddress() const { return peerAddress_; }
 
 private:
+    static constexpr std::size_t READ_CHUNK_BYTES = 64 * 1024;
+
     enum class State { Connecting, Open, Closed };
 
     Connection(EventLoop& loop, const Poco::Net::StreamSocket& socket, Hooks hooks, State state);
@@ -86,6 +91,7 @@
     bool reading_ = true;
     bool closeWhenDrained_ = false;
     bool blocked_ = false; // the socket buffer is full
+    std::size_t maxReadBytes_ = READ_CHUNK_BYTES;
     std::string output_;
     std::size_t written_ = 0;
     std::size_t countedOutput_ = 0; // memory of the output buffer as counted by the loop
--- a/tests/unit/server_capacity_test.cpp
+++ b/tests/unit/server_capacity_test.cpp
@@ -187,7 +187,7 @@
             exchange->reply(503, {}, "");
         });
     http::ServerCapacity capacity;
-    capacity.bodyBytes = 1024 * 1024;
+    capacity.inputBytes = 1024 * 1024;
     server.setCapacity(capacity);
     http::Client client(loop, http::Limits());
     std::vector<http::Call::Ptr> calls;
@@ -205,11 +205,11 @@
         send(BODY_BYTES);
     while (open.size() + refused < CALLERS) {
         loop.runOnce();
-        mostHeld = std::max(mostHeld, server.heldBodyBytes());
+        mostHeld = std::max(mostHeld, server.inputBytes());
     }
     cr_assert_geq(open.size(), 1);
     cr_assert_geq(refused, CALLERS / 2);
-    cr_assert_leq(mostHeld, capacity.bodyBytes + capacity.bodyBytes / 2);
+    cr_assert_leq(mostHeld, capacity.inputBytes + capacity.inputBytes / 2);
     cr_assert(std::all_of(refusals.begin(), refusals.end(),
         [](errors::ResultCode code) { return code == errors::ResultCode::MemoryLimit; }));
     // A small body is still accepted, and so is a large one after the others have ended.
@@ -219,7 +219,7 @@
         loop.runOnce();
     open.clear();
     calls.clear();
-    while (server.heldBodyBytes() > 0)
+    while (server.inputBytes() > 0)
         loop.runOnce();
     send(BODY_BYTES);
     while (open.empty())
