check-config: check an operator's configuration before it is sent

What was missing: a configuration that contradicts itself was seen only once it was in force, as requests without a route or a goal that no answer can meet.

Change: routes/ConfigurationCheck finds errors, entries that never match and limits that contradict each other, each with the JSON pointer of its entry, and compares with the version in force; keys are counted, never printed. A document that can't be read names the entry too.

Whether servers can bear what is asked is not checked.

--- a/src/goldcrestcleat/FrontDaemon.h
+++ b/src/goldcrestcleat/FrontDaemon.h
@@ -17,6 +17,8 @@
     std::string evacuationKeyPrefix {}; ///< of rows of the same table that name an evacuated data centre
     std::string serversTable;
 
+    std::string workspacesMember; ///< member of the configuration document that lists the workspaces
+
     /// Parses the configuration document. Throws Error with ConfigurationInvalid.
     std::function<routes::Configuration(const std::string& text)> parseConfiguration;
 
--- a/src/goldcrestcleat/cli/Commands.cpp
+++ b/src/goldcrestcleat/cli/Commands.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestcleat/Daemon.h"
 #include "goldcrestcleat/FrontDaemon.h"
+#include "goldcrestcleat/cli/ConfigurationCommand.h"
 #include "goldcrestcleat/cli/LogCommands.h"
 #include "goldcrestcleat/cli/OperatorCommands.h"
 #include "goldcrestcleat/cli/QuarantineCommands.h"
@@ -19,10 +20,13 @@
 ABSL_FLAG(std::string, config, "",
     "settings file (JSON) of serve, front and check-config; without it, front uses $GOLDCRESTCLEAT_BOOT");
 
+ABSL_FLAG(std::string, configuration, "", "configuration that check-config checks before it is sent");
+ABSL_FLAG(std::string, in_force, "", "configuration in force, with which check-config compares it");
 ABSL_FLAG(bool, front, false, "make check-config validate settings of front instead of serve");
 ABSL_FLAG(std::string, out, "report.html", "output file of report");
 
 ABSL_DECLARE_FLAG(std::string, request);
+ABSL_DECLARE_FLAG(bool, json);
 
 namespace goldcrestcleat::cli {
 
@@ -72,6 +76,10 @@
 
     int checkConfig()
     {
+        const std::string configuration = absl::GetFlag(FLAGS_configuration);
+        if (!configuration.empty())
+            return checkConfigurationFile(
+                platform::makeAdapter(), configuration, absl::GetFlag(FLAGS_in_force), absl::GetFlag(FLAGS_json));
         if (absl::GetFlag(FLAGS_front))
             settings::loadFrontSettings(absl::GetFlag(FLAGS_config));
         else
@@ -89,7 +97,10 @@
                 "servers in its store. SIGTERM begins a planned stop, SIGHUP reloads the settings.\n" },
             { "check-config",
                 "check-config [--front] --config FILE\n  Validates a settings file of serve, or of front as rendered "
-                "by the platform, and prints each error with its result code and JSON pointer.\n" },
+                "by the platform, and prints each error with its result code and JSON pointer.\n"
+                "check-config --configuration FILE [--in_force FILE] [--json]\n  Checks an operator's configuration "
+                "before it is sent: errors, entries that never match, limits that contradict each other, and what "
+                "differs from the one in force. Exit code 3 if there is an error.\n" },
             { "report",
                 "report [--out FILE] LOGFILE...\n  Writes an HTML page with plots from the logs of one or "
                 "several front daemons.\n" },
--- a/tests/fleet/front_variants_test.cpp
+++ b/tests/fleet/front_variants_test.cpp
@@ -193,6 +193,38 @@
     cr_assert_eq(runProgram(rig.folder(), { "report", "--out=" + page, rig.folder() + "/none.log" }).exitCode, 1);
 }
 
+Test(variants, the_binary_checks_a_configuration_before_it_is_sent)
+{
+    FrontRigOptions options;
+    options.daemons = 1;
+    FrontRig rig(options);
+    rig.start();
+    const std::string inForce = rig.folder() + "/in-force.json";
+    const std::string next = rig.folder() + "/next.json";
+    std::ofstream(inForce) << rig.configuration.dump();
+    nlohmann::json changed = rig.configuration;
+    changed["version"] = 1'000;
+    changed["routes"][0]["goalMs"] = 100;
+    std::ofstream(next) << changed.dump();
+    const auto check = [&] {
+        return runProgram(rig.folder(), { "check-config", "--configuration=" + next, "--in_force=" + inForce });
+    };
+    const auto sound = check();
+    cr_assert_eq(sound.exitCode, 0, "%s%s", sound.output.c_str(), sound.errors.c_str());
+    cr_assert(contains(sound.output, "goal 400 -> 100"), "%s", sound.output.c_str());
+    changed["tenants"][0]["apiKeys"] = { "a" };
+    changed["routes"][0]["prefix"] = "/read";
+    std::ofstream(next) << changed.dump();
+    const auto faulty = check();
+    cr_assert_eq(faulty.exitCode, 3);
+    cr_assert(contains(faulty.output, "error /routes/0: never matches"), "%s", faulty.output.c_str());
+    changed["routes"][1].erase("timeoutMs");
+    std::ofstream(next) << changed.dump();
+    const auto unreadable = check();
+    cr_assert_eq(unreadable.exitCode, 1);
+    cr_assert(contains(unreadable.errors, "/routes/1"), "%s", unreadable.errors.c_str());
+}
+
 Test(variants, the_binary_checks_rendered_settings)
 {
     FrontRigOptions options;
