--- a/src/goldcrestcleat/routes/ConfigurationCheck.cpp
+++ b/src/goldcrestcleat/routes/ConfigurationCheck.cpp
@@ -183,7 +183,7 @@
     Members membersOf(const Route& r)
     {
         return { { "host", r.host }, { "prefix", r.prefix }, { "kind", describe(r.kind) },
-            { "resumable", std::to_string(r.isResumable) }, { "needs key", std::to_string(r.needsKey) },
+            { "may be resumed", std::to_string(r.isResumable) }, { "needs key", std::to_string(r.needsKey) },
             { "prompt", std::to_string(r.hasPrompt) }, { "time-out", std::to_string(r.timeoutMs) },
             { "goal", std::to_string(r.goalMs) }, { "longest pause", std::to_string(r.maxPauseMs) },
             { "attempts", std::to_string(r.attempts) }, { "priority", std::to_string(r.priority) },
