--- a/src/goldcrestcleat/forwarding/RoutedPlacement.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedPlacement.cpp
@@ -75,8 +75,8 @@
 bool RoutedCall::isInPermittedRegion(const std::string& dataCentre) const
 {
     const auto permits = [&](const std::vector<std::string>& regions) {
-        const std::string region = env_.settings.regionOf(dataCentre);
-        return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+        return regions.empty()
+            || std::find(regions.begin(), regions.end(), env_.settings.regionOf(dataCentre)) != regions.end();
     };
     return permits(route_->regions) && (!workspace_ || permits(workspace_->regions));
 }
