Input memory: search for stalled requests at most each 20 ms if there are none

Cause: while the memory for requests was exceeded, each part of a body, down to a chunk of one byte, searched all connections for a stalled one; a crowd of tiny chunks could have held the loop up. The memory of a head was added up for each part as well. Also: a reader that its hook has abandoned does not go on; ColdStartLimiter forgets servers that are gone.

Change: the search runs before and after a read, not for each part, and rests for 20 ms after it found none. Ruled out: no search while a request grows, which would refuse it though stalled ones could make room.

The new case of input_memory_test does 1,000 searches instead of 1 without the rest.

--- a/src/goldcrestcleat/http/Exchange.cpp
+++ b/src/goldcrestcleat/http/Exchange.cpp
@@ -49,6 +49,8 @@
     const Poco::URI uri(head_.getURI());
     path_ = uri.getPath();
     query_ = uri.getQueryParameters();
+    for (const auto& [name, value] : head_)
+        headBytes_ += FIELD_OVERHEAD_BYTES + name.size() + value.size();
     countBytes();
 }
 
@@ -68,10 +70,7 @@
 
 void Exchange::countBytes()
 {
-    std::size_t bytes = heapBytes(body_);
-    for (const auto& [name, value] : head_)
-        bytes += FIELD_OVERHEAD_BYTES + name.size() + value.size();
-    const auto counted = static_cast<std::ptrdiff_t>(bytes);
+    const auto counted = static_cast<std::ptrdiff_t>(headBytes_ + heapBytes(body_));
     memory_->change(counted - countedBytes_);
     countedBytes_ = counted;
 }
--- a/src/goldcrestcleat/http/Exchange.h
+++ b/src/goldcrestcleat/http/Exchange.h
@@ -83,6 +83,7 @@
     std::vector<std::pair<std::string, std::string>> query_;
     std::string body_;
     std::shared_ptr<InputMemory> memory_;
+    std::size_t headBytes_ = 0; // memory of the header fields
     std::ptrdiff_t countedBytes_ = 0; // memory of the head and the body as counted in `memory_`
     loop::TimeMs arrivedAt_ = 0;
     bool responded_ = false;
--- a/src/goldcrestcleat/http/InputMemory.cpp
+++ b/src/goldcrestcleat/http/InputMemory.cpp
@@ -52,6 +52,9 @@
 
 void InputMemory::freeStalled(loop::TimeMs now)
 {
+    if (noneStalledAt_ && now - *noneStalledAt_ < SEARCH_PERIOD_MS)
+        return;
+    noneStalledAt_.reset();
     while (isExceeded()) {
         std::vector<HolderId> ids;
         std::vector<HeldInput> held;
@@ -60,8 +63,10 @@
             held.push_back(holder.held());
         }
         const auto costliest = findCostliestStalled(held, now);
-        if (!costliest)
+        if (!costliest) {
+            noneStalledAt_ = now;
             return;
+        }
         const auto before = bytes_;
         const auto giveUp = holders_.at(ids[*costliest]).giveUp; // a copy, since the holder may remove itself
         giveUp();
--- a/src/goldcrestcleat/http/InputMemory.h
+++ b/src/goldcrestcleat/http/InputMemory.h
@@ -39,6 +39,8 @@
 public:
     using HolderId = std::uint64_t;
 
+    static constexpr loop::TimeMs SEARCH_PERIOD_MS = 20; ///< a crowd may send thousands of small parts in that time
+
     /// A connection. The hooks must not add or remove holders, except that `giveUp` may remove its own.
     struct Holder {
         std::function<HeldInput()> held;
@@ -55,7 +57,8 @@
     HolderId add(Holder holder);
     void remove(HolderId id) { holders_.erase(id); }
 
-    /// Gives up stalled requests until the memory is within its limit. Complexity: O(holders) for each one given up.
+    /// Gives up stalled requests until the memory is within its limit. Complexity: O(holders) for each one given up;
+    /// O(1) for SEARCH_PERIOD_MS after there was none to give up.
     void freeStalled(loop::TimeMs now);
 
     /// Returns whether a request must be refused that is still being received and has grown.
@@ -68,6 +71,7 @@
     HolderId nextId_ = 1;
     std::size_t limit_ = std::numeric_limits<std::size_t>::max() / 2;
     std::ptrdiff_t bytes_ = 0;
+    std::optional<loop::TimeMs> noneStalledAt_; // when none was found to give up
 };
 
 } // namespace goldcrestcleat::http
--- a/src/goldcrestcleat/http/MessageReader.cpp
+++ b/src/goldcrestcleat/http/MessageReader.cpp
@@ -328,7 +328,7 @@
     const std::string_view part(buffer_.data() + consumed_, count);
     consumed_ += count;
     hooks_.onBody(part);
-    return true;
+    return state_ != State::Failed; // the hook may have abandoned the message
 }
 
 void MessageReader::finish()
--- a/src/goldcrestcleat/http/Server.cpp
+++ b/src/goldcrestcleat/http/Server.cpp
@@ -153,6 +153,7 @@
     lastProgress_ = server_.loop_.now();
     if (!exchange_)
         reader_.setLimits(server_.limits_);
+    input_->freeStalled(lastProgress_); // before this request grows
     reader_.feed(bytes);
     limitInput();
     if (requestEnded_ && reader_.buffered() > MAX_PIPELINED_BYTES)
@@ -183,7 +184,7 @@
     if (!exchange_)
         return;
     exchange_->appendBody(part);
-    limitInput();
+    refuseIfTooMuch();
 }
 
 void ServerSession::countInput()
@@ -198,9 +199,13 @@
 {
     countInput();
     input_->freeStalled(server_.loop_.now());
-    const bool isUnfinished = heldInput().isUnfinished;
+    refuseIfTooMuch();
+}
+
+void ServerSession::refuseIfTooMuch()
+{
     const bool isSmall = !exchange_ || exchange_->heldBytes() <= ServerCapacity::SMALL_BODY_BYTES;
-    if (isUnfinished && input_->mustRefuse(isSmall))
+    if (heldInput().isUnfinished && input_->mustRefuse(isSmall))
         giveUp("the requests of all callers exceed the memory limit");
 }
 
--- a/src/goldcrestcleat/http/ServerSession.h
+++ b/src/goldcrestcleat/http/ServerSession.h
@@ -47,6 +47,7 @@
     void linger();
     void countInput();
     void limitInput();
+    void refuseIfTooMuch();
 
     Server& server_;
     const std::shared_ptr<InputMemory> input_; // outlives the server
--- a/src/goldcrestcleat/routing/ColdStartLimiter.cpp
+++ b/src/goldcrestcleat/routing/ColdStartLimiter.cpp
@@ -3,9 +3,16 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <iterator>
 
 namespace goldcrestcleat::routing {
 
+namespace {
+
+    constexpr loop::TimeMs FORGETTING_PERIOD_MS = 60'000; // servers come and go over months
+
+} // namespace
+
 int ColdStartLimiter::Tolerance::shared() const { return static_cast<int>(std::floor(perWindow * overage)); }
 
 void ColdStartLimiter::setDaemons(NodeKey self, std::vector<NodeKey> daemons)
@@ -42,7 +49,11 @@
     return static_cast<int>(countRecent(server, now)) < share(server, tolerance);
 }
 
-void ColdStartLimiter::recordStart(NodeKey server, loop::TimeMs now) { starts_[server].push_back(now); }
+void ColdStartLimiter::recordStart(NodeKey server, loop::TimeMs now)
+{
+    forgetOld(now);
+    starts_[server].push_back(now);
+}
 
 // ---- private ----
 
@@ -78,4 +89,15 @@
     return starts.size();
 }
 
+/// Forgets servers that are probably gone.
+void ColdStartLimiter::forgetOld(loop::TimeMs now)
+{
+    if (now - forgottenAt_ < FORGETTING_PERIOD_MS)
+        return;
+    forgottenAt_ = now;
+    ranks_.clear();
+    for (auto it = starts_.begin(); it != starts_.end();)
+        it = it->second.back() + SPACING_MS <= now ? starts_.erase(it) : std::next(it);
+}
+
 } // namespace goldcrestcleat::routing
--- a/src/goldcrestcleat/routing/ColdStartLimiter.h
+++ b/src/goldcrestcleat/routing/ColdStartLimiter.h
@@ -55,10 +55,12 @@
 private:
     std::size_t rankOf(NodeKey server);
     std::size_t countRecent(NodeKey server, loop::TimeMs now);
+    void forgetOld(loop::TimeMs now);
 
     NodeKey self_ = NO_NODE;
     std::vector<NodeKey> daemons_;
     loop::TimeMs pausedUntil_ = 0;
+    loop::TimeMs forgottenAt_ = 0; // when servers without recent starts were last forgotten
     std::unordered_map<NodeKey, std::size_t> ranks_; // of this daemon, by server
     std::unordered_map<NodeKey, std::deque<loop::TimeMs>> starts_; // in the last SPACING_MS, by server
 };
--- a/tests/unit/input_memory_test.cpp
+++ b/tests/unit/input_memory_test.cpp
@@ -62,6 +62,25 @@
     cr_assert(f.memory.mustRefuse(true), "a request that grows further must be refused");
 }
 
+/// Guards against a search of all connections for each part that arrives while memory is short.
+Test(input_memory, a_search_that_found_nothing_is_not_repeated_at_once)
+{
+    InputMemory memory;
+    int searches = 0;
+    memory.setLimit(10);
+    memory.change(100);
+    memory.add({ [&] {
+                    ++searches;
+                    return unfinished(100, 0);
+                },
+        [] {} });
+    for (int i = 0; i < 1'000; ++i)
+        memory.freeStalled(NOW);
+    cr_assert_eq(searches, 1);
+    memory.freeStalled(NOW + InputMemory::SEARCH_PERIOD_MS);
+    cr_assert_eq(searches, 2);
+}
+
 Test(input_memory, small_requests_are_refused_later_than_large_ones)
 {
     InputMemory memory;
