--- a/src/goldcrestcleat/gateway/FrontGateway.cpp
+++ b/src/goldcrestcleat/gateway/FrontGateway.cpp
@@ -112,7 +112,7 @@
 std::vector<std::string> FrontGateway::addressesFor(const http::Exchange& exchange) const
 {
     const auto all = hooks_.entryAddresses({});
-    const auto nearby = hooks_.entryAddresses({ entryDialect_.callerRegion(exchange) });
+    auto nearby = hooks_.entryAddresses({ entryDialect_.callerRegion(exchange) });
     const auto routes = env_.routes();
     if (nearby.size() < all.size() || !routes)
         return nearby;
--- a/src/goldcrestcleat/routes/ConfigurationCheck.cpp
+++ b/src/goldcrestcleat/routes/ConfigurationCheck.cpp
@@ -159,7 +159,7 @@
     {
         std::string all;
         for (const auto& text : texts)
-            all += (all.empty() ? "" : ",") + text;
+            all.append(all.empty() ? "" : ",").append(text);
         return all.empty() ? "none" : all;
     }
 
@@ -206,11 +206,12 @@
     void compareEntries(const std::string& kind, const std::vector<Entry>& before, const std::vector<Entry>& after,
         std::vector<Difference>& differences)
     {
+        const std::string prefix = kind + " ";
         std::map<std::string, const Entry*> known;
         for (const auto& entry : before)
             known[entry.name] = &entry;
         for (const auto& entry : after) {
-            const std::string name = kind + " " + entry.name;
+            const std::string name = prefix + entry.name;
             const auto found = known.find(entry.name);
             if (found == known.end()) {
                 differences.push_back({ name, "added" });
@@ -225,7 +226,7 @@
             known.erase(found);
         }
         for (const auto& [name, entry] : known)
-            differences.push_back({ kind + " " + name, "removed" });
+            differences.push_back({ prefix + name, "removed" });
     }
 
     void compareKeys(const Configuration& before, const Configuration& after, std::vector<Difference>& differences)
