--- a/tests/fleet/hostile_clients_test.cpp
+++ b/tests/fleet/hostile_clients_test.cpp
@@ -114,7 +114,7 @@
 {
     std::string head = "POST /read/x HTTP/1.1\r\n" + framing + "\r\n";
     for (const auto& [name, value] : FrontRig::validHeaders({}))
-        head += name + ": " + value + "\r\n";
+        head.append(name).append(": ").append(value).append("\r\n");
     return head + "\r\n";
 }
 
