Log how an answer without a length ended

The event `closed` states the first error of the socket, the time since the last progress and the position. The reason of a lost connection names the error. No decision changes.

--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -113,6 +113,7 @@
     void awaitRejectionEnd(std::int64_t bodyBytes);
     bool canForward(const Attempt& attempt) const;
     void explainBroken(const std::string& reason, bool wasClosedWhileIdle) const;
+    void explainClosed() const;
     bool onEvent(const StreamEvent& event);
     void flush();
     void onEnd();
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
+#include <system_error>
 #include <utility>
 
 // The part of ForwardedRequest that forwards responses and handles failed attempts.
@@ -225,6 +226,8 @@
 
 void ForwardedRequest::onEnd()
 {
+    if (attempt_.endsWithConnection)
+        explainClosed();
     if (attempt_.head.wasNotExecuted)
         onRejected();
     else if (!isEventStream(attempt_))
@@ -331,6 +334,18 @@
             { "lastEvent", position_.value_or(0) } });
 }
 
+/// Logs the end of a response that only the end of its connection delimits.
+void ForwardedRequest::explainClosed() const
+{
+    const int error = attempt_.call->socketError();
+    hooks_.explain("closed",
+        { { "server", attempt_.placement.serverId },
+            { "socketError", error == 0 ? "" : std::generic_category().message(error) },
+            { "sinceSendMs", env_.loop.now() - attempt_.sentAt },
+            { "sinceProgressMs", env_.loop.now() - lastProgressAt_ }, { "bytes", attempt_.call->receivedBytes() },
+            { "lastEvent", position_.value_or(0) } });
+}
+
 void ForwardedRequest::onAssessed(FailureKind kind, const std::string& reason, NextServer next)
 {
     if (isEnded_)
--- a/src/goldcrestcleat/http/Client.cpp
+++ b/src/goldcrestcleat/http/Client.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <sstream>
+#include <system_error>
 
 namespace goldcrestcleat::http {
 
@@ -45,6 +46,12 @@
         return fractionMs > 0 ? std::min(fractionMs, MAX_IDLE_MS) : MAX_IDLE_MS;
     }
 
+    std::string describeEnd(loop::CloseReason reason, int socketError)
+    {
+        const std::string what = reason == loop::CloseReason::ConnectFailed ? "connect failed" : "connection lost";
+        return socketError == 0 ? what : what + ": " + std::generic_category().message(socketError);
+    }
+
     bool isHost(const std::pair<std::string, std::string>& field) { return Poco::icompare(field.first, "Host") == 0; }
 
     std::string serializeRequest(const std::string& address, const Request& request)
@@ -262,10 +269,11 @@
         const auto self = weak.lock();
         if (!self || self->ended_)
             return;
+        self->socketError_ = self->connection_->socketError();
         if (reason == loop::CloseReason::EndOfStream)
             self->reader_->endOfStream();
         if (!self->ended_)
-            fail(self, reason == loop::CloseReason::ConnectFailed ? "connect failed" : "connection lost");
+            fail(self, describeEnd(reason, self->socketError_));
     };
     if (call->reused_) {
         call->progress_ = FailurePoint::Sent;
--- a/src/goldcrestcleat/http/Client.h
+++ b/src/goldcrestcleat/http/Client.h
@@ -58,6 +58,9 @@
 
     std::size_t receivedBytes() const { return receivedBytes_; }
 
+    /// Returns the error that the socket had reported when the connection ended, as in errno; 0 for none.
+    int socketError() const { return socketError_; }
+
 private:
     friend class Client;
 
@@ -73,6 +76,7 @@
     std::size_t discardedBytes_ = 0; // of their bodies
     loop::TimeMs advertisedIdleMs_ = 0; // from the `Keep-Alive` field; 0 without one
     std::size_t receivedBytes_ = 0;
+    int socketError_ = 0;
 };
 
 /// An HTTP/1.1 client with a small pool of idle connections per address; requests are not pipelined.
--- a/src/goldcrestcleat/loop/Connection.cpp
+++ b/src/goldcrestcleat/loop/Connection.cpp
@@ -151,7 +151,10 @@
     if (state_ != State::Open)
         return -1;
     char next = 0;
-    return ::recv(socket_.impl()->sockfd(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto count = ::recv(socket_.impl()->sockfd(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count < 0)
+        recordError(errno);
+    return count;
 }
 
 void Connection::onReady(int modes)
@@ -171,6 +174,7 @@
     int socketError = 0;
     socket_.impl()->getOption(SOL_SOCKET, SO_ERROR, socketError);
     if (socketError != 0) {
+        recordError(socketError);
         fail(CloseReason::ConnectFailed);
         return;
     }
@@ -192,6 +196,7 @@
     try {
         received = socket_.receiveBytes(buffer.data(), static_cast<int>(std::min(buffer.size(), maxReadBytes_)));
     } catch (const Poco::Exception& e) {
+        recordError(e.code());
         if (!isTemporary(e))
             fail(CloseReason::Reset);
         return;
@@ -217,6 +222,7 @@
             written_ += static_cast<std::size_t>(sent);
         }
     } catch (const Poco::Exception& e) {
+        recordError(e.code());
         if (!isTemporary(e))
             return false;
     }
@@ -238,6 +244,12 @@
     return true;
 }
 
+void Connection::recordError(int error)
+{
+    if (socketError_ == 0 && error != EAGAIN && error != EWOULDBLOCK && error != EINTR)
+        socketError_ = error;
+}
+
 void Connection::scheduleFailure()
 {
     loop_.after(0, [self = shared_from_this()] { self->fail(CloseReason::Reset); });
--- a/src/goldcrestcleat/loop/Connection.h
+++ b/src/goldcrestcleat/loop/Connection.h
@@ -65,6 +65,9 @@
     std::size_t pendingOutput() const { return output_.size() - written_; }
     const std::string& peerAddress() const { return peerAddress_; }
 
+    /// Returns the first error that the socket reported to any call, as in errno; 0 for none.
+    int socketError() const { return socketError_; }
+
 private:
     static constexpr std::size_t READ_CHUNK_BYTES = 64 * 1024;
 
@@ -78,6 +81,7 @@
     void finishConnect();
     void readAvailable();
     bool writePending(); // returns false on a connection error
+    void recordError(int error);
     void scheduleFailure();
     void updateModes();
     void countOutput();
@@ -92,6 +96,7 @@
     bool closeWhenDrained_ = false;
     bool blocked_ = false; // the socket buffer is full
     std::size_t maxReadBytes_ = READ_CHUNK_BYTES;
+    int socketError_ = 0;
     std::string output_;
     std::size_t written_ = 0;
     std::size_t countedOutput_ = 0; // memory of the output buffer as counted by the loop
