--- a/tests/unit/RoutedFixture.h
+++ b/tests/unit/RoutedFixture.h
@@ -22,6 +22,7 @@
         int status = 0;
         std::string retryAfter;
         std::string body;
+        bool isComplete = false; ///< its end has been received
     };
 
     explicit RoutedFixture(const http::Limits& answerLimits = http::Limits())
@@ -114,7 +115,7 @@
         };
         hooks.onBody = [&](std::string_view part) { answer.body.append(part); };
         bool isDone = false;
-        hooks.onEnd = [&] { isDone = true; };
+        hooks.onEnd = [&] { answer.isComplete = isDone = true; };
         hooks.onFailure = [&](http::FailurePoint, const std::string&) { isDone = true; };
         const auto outgoing = callerClient_.start(callers_.address(), request, std::move(hooks));
         runUntil([&] { return isDone; });
--- /dev/null
+++ b/tests/unit/early_end_test.cpp
@@ -0,0 +1,144 @@
+#include "ForkedServer.h"
+#include "RoutedFixture.h"
+#include "TcpPeer.h"
+
+#include <regex>
+
+using namespace testing;
+
+// Answers without a length whose connection ends before the server has sent everything. Guards against passing them on
+// as complete (ORDER, MIXED).
+
+namespace {
+
+const std::string HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\nServer-Seal: s\r\n";
+constexpr loop::TimeMs STREAM_MS = 30; // after the answer has begun, before the server ends
+
+std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: part " + std::to_string(id) + "\n\n"; }
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += event(id);
+    return text;
+}
+
+std::string fieldOf(const std::string& request, const std::string& name)
+{
+    std::smatch match;
+    return std::regex_search(request, match, std::regex(name + ": (\\w+)")) ? match[1].str() : "";
+}
+
+/// Returns the beginning of an answer without a length to the request.
+std::string beginAnswer(const std::string& request, const std::string& body)
+{
+    return std::regex_replace(HEAD, std::regex("\\$ID"), fieldOf(request, "Request-Id")) + "\r\n" + body;
+}
+
+/// Adds a server that sends all events up to `last` that the caller does not have yet, and the end of the stream.
+void addSoundServer(RoutedFixture& f, const std::string& id, int last)
+{
+    f.addServer(id, [last](const http::Exchange::Ptr& exchange) {
+        const std::string position = exchange->header("Last-Event-Id");
+        exchange->startStream(200, { { "Request-Id", exchange->header("Request-Id") }, { "Server-Seal", "s" } });
+        exchange->write(events(position.empty() ? 1 : std::stoi(position) + 1, last));
+        exchange->finishStream();
+    });
+}
+
+void useStreams(RoutedFixture& f, bool isResumable)
+{
+    f.route.kind = routes::CallKind::Stream;
+    f.route.isResumable = isResumable;
+    f.route.goalMs = f.route.maxPauseMs = 3'000; // so that no server is taken to be silent
+    f.deadlineMs = 5'000;
+    f.configure();
+}
+
+/// Lets the peer answer the request that it gets next without a length, and then stop to respond.
+void answerAndGoDark(RoutedFixture& f, TcpPeer& peer)
+{
+    f.loop.after(1, [&f, &peer] {
+        if (!peer.tryAccept()) {
+            answerAndGoDark(f, peer);
+            return;
+        }
+        while (!peer.hasInput()) { }
+        peer.send(beginAnswer(peer.receive(), events(1, 2)));
+        f.loop.after(STREAM_MS, [&peer] { peer.goDark(); });
+    });
+}
+
+/// Kills the server once it has answered and the answer has arrived.
+void killAfterAnswer(RoutedFixture& f, ForkedServer& server)
+{
+    f.loop.after(1, [&f, &server] {
+        if (server.hasAnswered())
+            f.loop.after(STREAM_MS, [&server] { server.kill(); });
+        else
+            killAfterAnswer(f, server);
+    });
+}
+
+} // namespace
+
+Test(early_end, a_stream_is_not_complete_when_the_machine_of_its_server_no_longer_responds, .timeout = 60)
+{
+    for (const bool isResumable : { false, true }) {
+        RoutedFixture f;
+        useStreams(f, isResumable);
+        TcpPeer dark;
+        f.addServerAt("dark", dark.address());
+        answerAndGoDark(f, dark);
+        f.loop.after(1'000, [&] { addSoundServer(f, "other", 5); });
+        const auto answer = f.call();
+        cr_assert_eq(answer.isComplete, isResumable, "%s", answer.body.c_str());
+        cr_assert(answer.body == events(1, isResumable ? 5 : 2), "%s", answer.body.c_str());
+    }
+}
+
+Test(early_end, a_stream_is_not_complete_when_the_process_of_its_server_is_killed, .timeout = 60)
+{
+    for (const bool isResumable : { false, true }) {
+        RoutedFixture f;
+        useStreams(f, isResumable);
+        ForkedServer killed([](const std::string& request) { return beginAnswer(request, events(1, 2)); });
+        f.addServerAt("killed", killed.address());
+        killAfterAnswer(f, killed);
+        f.loop.after(STREAM_MS / 2, [&] { addSoundServer(f, "other", 5); });
+        const auto answer = f.call();
+        cr_assert_eq(answer.isComplete, isResumable, "%s", answer.body.c_str());
+        cr_assert(answer.body == events(1, isResumable ? 5 : 2), "%s", answer.body.c_str());
+    }
+}
+
+Test(early_end, a_stream_is_not_complete_when_its_server_was_stopped_and_is_killed_later, .timeout = 60)
+{
+    RoutedFixture f;
+    useStreams(f, false);
+    ForkedServer killed([](const std::string& request) { return beginAnswer(request, events(1, 2)); });
+    f.addServerAt("killed", killed.address());
+    f.loop.after(STREAM_MS, [&] { killed.signal(SIGSTOP); });
+    f.loop.after(10 * STREAM_MS, [&] { killed.kill(); });
+    cr_assert_not(f.call().isComplete);
+}
+
+Test(early_end, an_answer_is_no_success_when_the_process_of_its_server_is_killed, .timeout = 60)
+{
+    for (const bool mayRepeat : { false, true }) {
+        RoutedFixture f;
+        f.route.kind = mayRepeat ? routes::CallKind::Idempotent : routes::CallKind::NonIdempotent;
+        f.configure();
+        ForkedServer killed([](const std::string& request) { return beginAnswer(request, "answer "); });
+        f.addServerAt("killed", killed.address());
+        killAfterAnswer(f, killed);
+        f.loop.after(STREAM_MS / 2, [&] {
+            f.addServer("other", [](const http::Exchange::Ptr& exchange) { RoutedFixture::succeed(exchange); });
+        });
+        const auto answer = f.call();
+        cr_assert_eq(answer.status, mayRepeat ? 200 : 502, "status %d", answer.status);
+        cr_assert_eq(f.arrivals["other"], mayRepeat ? 1 : 0);
+        cr_assert(!mayRepeat || answer.body == "answer to r1", "%s", answer.body.c_str());
+    }
+}
