Take errors of a connection for what they are, not for its end

Cause: POCO reports ETIMEDOUT, by which the system gives up a connection, as a TimeoutException, and any such exception was taken for a call that would block. A socket reports an error to one call only; the next read returned 0, which ended the answer as complete. The same happened when the error had been taken by a peek, or by a write outside of a socket handler. Class of fault: an error is classified by a type that also stands for something harmless, and what follows from it is read as news.

Change: errors are classified by their number alone, and a connection remembers its first final one; a read of 0 after it is a failure. All users of the event loop share this code: callers, servers, the store and its feed, peers, health checks, the stand-ins.

--- a/src/goldcrestcleat/loop/Connection.cpp
+++ b/src/goldcrestcleat/loop/Connection.cpp
@@ -27,13 +27,10 @@
     constexpr int MAX_ACCEPTS = 32;
     constexpr TimeMs EXHAUSTED_PAUSE_MS = 50; // descriptors become available when requests end
 
-    /// Returns true if a non-blocking call failed only because the socket buffer is full. POCO reports it as a general
-    /// I/O error.
-    bool isTemporary(const Poco::Exception& e)
-    {
-        return e.code() == EAGAIN || e.code() == EWOULDBLOCK || e.code() == EINTR
-            || dynamic_cast<const Poco::TimeoutException*>(&e) != nullptr;
-    }
+    /// Returns true if a non-blocking call failed only because it would have blocked or was interrupted.
+    ///
+    /// The type of POCO's exception does not tell: it throws a TimeoutException also for ETIMEDOUT, which is final.
+    bool isTemporary(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
 
     bool isExhaustion(int code) { return code == EMFILE || code == ENFILE || code == ENOBUFS || code == ENOMEM; }
 
@@ -152,7 +149,7 @@
         return -1;
     char next = 0;
     const auto count = ::recv(socket_.impl()->sockfd(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count < 0)
+    if (count < 0 && !isTemporary(errno))
         recordError(errno);
     return count;
 }
@@ -196,15 +193,16 @@
     try {
         received = socket_.receiveBytes(buffer.data(), static_cast<int>(std::min(buffer.size(), maxReadBytes_)));
     } catch (const Poco::Exception& e) {
-        recordError(e.code());
-        if (!isTemporary(e))
+        if (!isTemporary(e.code())) {
+            recordError(e.code());
             fail(CloseReason::Reset);
+        }
         return;
     }
     if (received < 0)
         return;
     if (received == 0) {
-        fail(CloseReason::EndOfStream);
+        fail(socketError_ == 0 ? CloseReason::EndOfStream : CloseReason::Reset);
         return;
     }
     const auto hooks = hooks_;
@@ -222,9 +220,10 @@
             written_ += static_cast<std::size_t>(sent);
         }
     } catch (const Poco::Exception& e) {
-        recordError(e.code());
-        if (!isTemporary(e))
+        if (!isTemporary(e.code())) {
+            recordError(e.code());
             return false;
+        }
     }
     const bool wasBlocked = blocked_;
     blocked_ = pendingOutput() > 0;
@@ -244,10 +243,11 @@
     return true;
 }
 
+/// A socket reports an error to one call only. Afterwards reads return 0, as they do at the end of the stream.
 void Connection::recordError(int error)
 {
-    if (socketError_ == 0 && error != EAGAIN && error != EWOULDBLOCK && error != EINTR)
-        socketError_ = error;
+    if (socketError_ == 0)
+        socketError_ = error == 0 ? EIO : error;
 }
 
 void Connection::scheduleFailure()
--- a/src/goldcrestcleat/loop/Connection.h
+++ b/src/goldcrestcleat/loop/Connection.h
@@ -14,7 +14,11 @@
 namespace goldcrestcleat::loop {
 
 /// Why a connection ended without being closed locally.
-enum class CloseReason { ConnectFailed, EndOfStream, Reset };
+enum class CloseReason {
+    ConnectFailed,
+    EndOfStream, ///< the peer has ended its output, and all of it has been read
+    Reset ///< any error, such as a reset by the peer or a timeout of the operating system
+};
 
 /// A non-blocking TCP connection with an output buffer; hooks run on the loop's thread.
 class Connection : public std::enable_shared_from_this<Connection> {
@@ -65,7 +69,7 @@
     std::size_t pendingOutput() const { return output_.size() - written_; }
     const std::string& peerAddress() const { return peerAddress_; }
 
-    /// Returns the first error that the socket reported to any call, as in errno; 0 for none.
+    /// Returns the first final error that the socket reported to any call, as in errno; 0 for none.
     int socketError() const { return socketError_; }
 
 private:
