Pass an answer without a length on only if its server still runs

Cause: when a process ends and has read all its input, the system closes its connections as after a complete answer. The end of the connection was taken for the server's statement that the answer is whole, although nobody had stated it.

Change: the last chunk of such an answer waits until a new connection has shown that the instance is still running: it answers, or accepts the connection and is busy. An instance that was started again says so (421, or another id). Otherwise the answer is broken off: it goes on elsewhere if it may be repeated, and is not passed on as complete if it may not. The events before it are not delayed, and answers with a length or chunks are not concerned. `closed` states the verdict, and goldcrestcleat_closed_answers_total counts it. The product's own interface asks its health checks and compares run ids.

--- a/src/goldcrestcleat/forwarding/Dialect.h
+++ b/src/goldcrestcleat/forwarding/Dialect.h
@@ -42,6 +42,13 @@
     std::string fetchFrom; ///< address of an engine that may have the prompt's context cached; empty for none
 };
 
+/// A server instance that is probed.
+struct ProbedInstance {
+    std::string serverId;
+    bool isEngine = false;
+    std::string healthPath; ///< of its service; empty if not known
+};
+
 /// Wire format of requests that are routed by host and path, and of the responses to them.
 struct Dialect {
     std::function<InboundRequest(const http::Exchange&)> decode;
@@ -55,6 +62,13 @@
 
     std::function<ResponseHead(const Poco::Net::HTTPResponse&)> readHead;
 
+    /// Returns a request that shows whether a server instance is running and has no other effect; nothing if none is
+    /// known.
+    std::function<std::optional<http::Request>(const ProbedInstance&)> encodeProbe;
+
+    /// Returns false if another instance has sent a response to a probe.
+    std::function<bool(const Poco::Net::HTTPResponse&, const std::string& serverId)> isFromInstance;
+
     /// Sends an error response that originates in this fleet. `retryAfterMs` 0 omits the retry time.
     std::function<void(http::Exchange&, errors::ResultCode, const std::string& context, loop::TimeMs retryAfterMs)>
         refuse;
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -31,7 +31,8 @@
 ///
 /// The request is placed on a server and sent there. It is sent again only if the server stated that it did not execute
 /// it, if no byte of it left this process, or if it may be executed more than once. A server that makes no progress
-/// keeps the request until another one has taken it over. Its hooks define the placement and the wire format.
+/// keeps the request until another one has taken it over. A response that ends with its connection is complete only if
+/// its server is still running. Its hooks define the placement and the wire format.
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
 public:
     using Ptr = std::shared_ptr<ForwardedRequest>;
@@ -79,7 +80,6 @@
         bool isPaused = false; ///< reading is paused for lack of memory
         loop::TimeMs sentAt = 0;
         std::optional<loop::TimeMs> headAt; ///< when the response head arrived
-        bool endsWithConnection = false; ///< the response has neither a length nor chunks
         bool hasSurvived = false; ///< the server has survived the beginning of its answer
     };
 
@@ -113,10 +113,13 @@
     void awaitRejectionEnd(std::int64_t bodyBytes);
     bool canForward(const Attempt& attempt) const;
     void explainBroken(const std::string& reason, bool wasClosedWhileIdle) const;
-    void explainClosed() const;
+    void explainClosed(bool isRunning) const;
     bool onEvent(const StreamEvent& event);
     void flush();
     void onEnd();
+    void confirmEnd();
+    void onEndConfirmed(bool isRunning);
+    void completeAnswer();
     void onFailure(http::FailurePoint point, const std::string& reason);
     bool isEventStream(const Attempt& attempt) const;
     admission::RunStage stage() const;
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -2,7 +2,6 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
-#include <system_error>
 #include <utility>
 
 // The part of ForwardedRequest that forwards responses and handles failed attempts.
@@ -44,7 +43,6 @@
 {
     attempt_.head = hooks_.readHead(head);
     attempt_.headAt = env_.loop.now();
-    attempt_.endsWithConnection = !head.has("Content-Length") && !head.has("Transfer-Encoding");
     if (hooks_.onHead)
         hooks_.onHead(attempt_.placement, attempt_.head);
     if (timeToHeadMs_ == 0)
@@ -226,19 +224,47 @@
 
 void ForwardedRequest::onEnd()
 {
-    if (attempt_.endsWithConnection)
-        explainClosed();
+    const bool isStream = isEventStream(attempt_);
     if (attempt_.head.wasNotExecuted)
         onRejected();
-    else if (!isEventStream(attempt_))
-        finishBuffered();
-    else if (attempt_.events.hasPartialEvent() || plan_.requiresEndMarker)
+    else if (isStream && (attempt_.events.hasPartialEvent() || plan_.requiresEndMarker))
         onBroken(FailureKind::Broken, "stream ended before it was complete");
-    else if (attempt_.endsWithConnection && !attempt_.hasBody)
-        // A server that ends closes its connections in the same way.
+    else if (!attempt_.call->isDelimitedByClose())
+        completeAnswer();
+    else if (isStream && !attempt_.hasBody)
         onBroken(FailureKind::Broken, "connection closed before the first event");
     else
+        confirmEnd();
+}
+
+/// The system closes the connections of a process that ends in the same way as a server that has sent everything.
+void ForwardedRequest::confirmEnd()
+{
+    env_.loop.cancel(progressTimer_);
+    progressTimer_ = 0;
+    hooks_.confirmRunning(attempt_.placement, [weak = weak_from_this(), serial = attempt_.serial](bool isRunning) {
+        const auto self = weak.lock();
+        if (self && !self->isEnded_ && self->attempt_.serial == serial)
+            self->onEndConfirmed(isRunning);
+    });
+}
+
+void ForwardedRequest::onEndConfirmed(bool isRunning)
+{
+    explainClosed(isRunning);
+    env_.metrics.onClosedAnswer(isRunning);
+    if (isRunning)
+        completeAnswer();
+    else
+        onBroken(FailureKind::Broken, "server ended with the connection");
+}
+
+void ForwardedRequest::completeAnswer()
+{
+    if (isEventStream(attempt_))
         finishStream();
+    else
+        finishBuffered();
 }
 
 void ForwardedRequest::finishStream()
@@ -335,12 +361,10 @@
 }
 
 /// Logs the end of a response that only the end of its connection delimits.
-void ForwardedRequest::explainClosed() const
+void ForwardedRequest::explainClosed(bool isRunning) const
 {
-    const int error = attempt_.call->socketError();
     hooks_.explain("closed",
-        { { "server", attempt_.placement.serverId },
-            { "socketError", error == 0 ? "" : std::generic_category().message(error) },
+        { { "server", attempt_.placement.serverId }, { "serverRuns", isRunning },
             { "sinceSendMs", env_.loop.now() - attempt_.sentAt },
             { "sinceProgressMs", env_.loop.now() - lastProgressAt_ }, { "bytes", attempt_.call->receivedBytes() },
             { "lastEvent", position_.value_or(0) } });
--- a/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
@@ -117,7 +117,6 @@
     Attempt& attempt = takeover_->attempt;
     attempt.head = hooks_.readHead(response);
     attempt.headAt = env_.loop.now();
-    attempt.endsWithConnection = !response.has("Content-Length") && !response.has("Transfer-Encoding");
     if (hooks_.onHead)
         hooks_.onHead(attempt.placement, attempt.head);
     if (attempt.head.isForOtherRequest)
@@ -158,7 +157,7 @@
         endTakeover("rejected");
         if (++rejections_ <= MAX_REJECTED_RETRIES)
             beginTakeover("rejected by another server");
-    } else if (isEventStream(attempt) && !attempt.endsWithConnection && takeover_->bytes.empty()) {
+    } else if (isEventStream(attempt) && !attempt.call->isDelimitedByClose() && takeover_->bytes.empty()) {
         abandonForTakeover(); // the caller has all events already
         onEnd();
     } else if (attempt.head.isAuthentic && attempt.head.isFailure) {
--- /dev/null
+++ b/src/goldcrestcleat/forwarding/InstanceProbe.cpp
@@ -0,0 +1,88 @@
+#include "goldcrestcleat/forwarding/InstanceProbe.h"
+
+#include <Poco/Net/HTTPResponse.h>
+
+#include <utility>
+
+namespace goldcrestcleat::forwarding {
+
+namespace {
+
+    constexpr int MAX_PROBES = 2;
+
+} // namespace
+
+void InstanceProbe::start(loop::EventLoop& loop, http::Client& client, Target target, DoneHook onDone)
+{
+    std::make_shared<InstanceProbe>(loop, client, std::move(target), std::move(onDone))->probe();
+}
+
+InstanceProbe::InstanceProbe(loop::EventLoop& loop, http::Client& client, Target target, DoneHook onDone)
+    : loop_(loop)
+    , client_(client)
+    , target_(std::move(target))
+    , onDone_(std::move(onDone))
+{
+}
+
+// ---- private ----
+
+void InstanceProbe::probe()
+{
+    ++probes_;
+    startedAt_ = loop_.now();
+    if (!target_.request) {
+        connectOnly();
+        return;
+    }
+    const auto self = shared_from_this();
+    http::Call::Hooks hooks;
+    hooks.onHead = [self](const Poco::Net::HTTPResponse& head) {
+        self->finish(self->target_.isFromInstance(head) ? ProbeOutcome::Answered : ProbeOutcome::AnsweredByOther);
+    };
+    hooks.onEnd = [self] { self->call_.reset(); }; // only now, so that its connection can be used again
+    hooks.onFailure = [self](http::FailurePoint point, const std::string&) {
+        self->call_.reset();
+        self->finish(point == http::FailurePoint::NotSent ? ProbeOutcome::Unreachable : ProbeOutcome::Closed);
+    };
+    call_ = client_.start(target_.address, *target_.request, std::move(hooks), http::Client::Reuse::Never);
+    timer_ = loop_.after(ANSWER_TIMEOUT_MS, [self] { self->onTimeout(); });
+}
+
+void InstanceProbe::connectOnly()
+{
+    const auto self = shared_from_this();
+    client_.preconnect(target_.address, [self, serial = probes_](bool isOpen) {
+        if (serial == self->probes_)
+            self->finish(isOpen ? ProbeOutcome::Silent : ProbeOutcome::Unreachable);
+    });
+    timer_ = loop_.after(CONNECT_TIMEOUT_MS, [self] { self->finish(ProbeOutcome::Unreachable); });
+}
+
+void InstanceProbe::onTimeout()
+{
+    const bool isConnected = call_ && call_->isConnected();
+    if (onDone_ && !isConnected && loop_.now() - startedAt_ < CONNECT_TIMEOUT_MS) {
+        timer_
+            = loop_.after(CONNECT_TIMEOUT_MS - ANSWER_TIMEOUT_MS, [self = shared_from_this()] { self->onTimeout(); });
+        return;
+    }
+    if (const auto call = std::exchange(call_, nullptr))
+        call->cancel();
+    finish(isConnected ? ProbeOutcome::Silent : ProbeOutcome::Unreachable);
+}
+
+void InstanceProbe::finish(ProbeOutcome outcome)
+{
+    if (!onDone_)
+        return;
+    if (isUncertain(outcome) && probes_ < MAX_PROBES) {
+        loop_.cancel(timer_);
+        loop_.after(0, [self = shared_from_this()] { self->probe(); });
+        return;
+    }
+    const auto onDone = std::exchange(onDone_, nullptr);
+    onDone(outcome);
+}
+
+} // namespace goldcrestcleat::forwarding
--- a/src/goldcrestcleat/forwarding/RequestHooks.h
+++ b/src/goldcrestcleat/forwarding/RequestHooks.h
@@ -155,6 +155,8 @@
     std::function<void(const Placement&, upstreams::Outcome)>
         recordOutcome; ///< called for ServerError, Rejected and Unreachable
     std::function<void(const Failure&, std::function<void(NextServer)>)> assessFailure; ///< may call back later
+    std::function<void(const Placement&, std::function<void(bool isRunning)>)>
+        confirmRunning; ///< finds out whether the server is still the same running process; may call back later
     std::function<bool()> tryTakeRetry; ///< takes one retry from the budget if there is one
 
     // Wire format.
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestcleat/forwarding/RoutedCall.h"
 
+#include "goldcrestcleat/forwarding/InstanceProbe.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -155,6 +157,9 @@
         onBroken(failure);
         onAssessed(NextServer::Another);
     };
+    hooks.confirmRunning = [this](const Placement& placement, std::function<void(bool isRunning)> onDone) {
+        confirmRunning(placement, std::move(onDone));
+    };
     hooks.onHead = [this](const Placement& placement, const ResponseHead& head) { onHead(placement, head); };
     hooks.recordPace = [this](const Placement& placement, loop::TimeMs durationMs) {
         env_.paces.record(service_, placement.server, static_cast<double>(durationMs), env_.requests.loop.now());
@@ -247,6 +252,22 @@
     env_.servers.recordOutcome(placement.server, Outcome::Answered, env_.requests.loop.now());
 }
 
+void RoutedCall::confirmRunning(const Placement& placement, std::function<void(bool isRunning)> onDone) const
+{
+    const auto* server = env_.servers.find(placement.server);
+    if (server && server->entry.startedAtMs != placement.serverStartedAtMs) {
+        onDone(false); // restarted since
+        return;
+    }
+    const ProbedInstance instance { placement.serverId, server && server->entry.isEngine,
+        serviceEntry_ ? serviceEntry_->healthPath : "" };
+    InstanceProbe::start(env_.requests.loop, env_.requests.client,
+        { placement.address, env_.dialect.encodeProbe(instance),
+            [&dialect = env_.dialect, id = placement.serverId](
+                const Poco::Net::HTTPResponse& head) { return dialect.isFromInstance(head, id); } },
+        [onDone = std::move(onDone)](ProbeOutcome outcome) { onDone(showsRunning(outcome)); });
+}
+
 /// Reports that a request was not executed only if that is certain.
 ResultCode RoutedCall::refuse(const TerminalError& error)
 {
--- a/src/goldcrestcleat/forwarding/RoutedCall.h
+++ b/src/goldcrestcleat/forwarding/RoutedCall.h
@@ -78,6 +78,7 @@
     void recordOutcome(const Placement& placement, upstreams::Outcome outcome);
     void onBroken(const Failure& failure);
     void onCompleteResponse(const Placement& placement);
+    void confirmRunning(const Placement& placement, std::function<void(bool isRunning)> onDone) const;
     errors::ResultCode refuse(const TerminalError& error);
     loop::TimeMs retryAfterMs(errors::ResultCode code) const;
     void refuseUnadmitted(errors::ResultCode code);
--- a/src/goldcrestcleat/http/Client.cpp
+++ b/src/goldcrestcleat/http/Client.cpp
@@ -215,6 +215,7 @@
             return;
         }
         self->progress_ = FailurePoint::ResponseStarted;
+        self->delimitedByClose_ = self->reader_->isDelimitedByClose();
         self->advertisedIdleMs_ = advertisedIdleLimit(head);
         self->keepAlive_ = head.getKeepAlive() && (head.has("Content-Length") || head.has("Transfer-Encoding"));
         if (self->hooks_.isIdentified && !self->hooks_.isIdentified(head))
--- a/src/goldcrestcleat/http/Client.h
+++ b/src/goldcrestcleat/http/Client.h
@@ -58,6 +58,9 @@
 
     std::size_t receivedBytes() const { return receivedBytes_; }
 
+    /// Returns whether only the end of the connection shows that the response is complete. Known from its head on.
+    bool isDelimitedByClose() const { return delimitedByClose_; }
+
     /// Returns the error that the socket had reported when the connection ended, as in errno; 0 for none.
     int socketError() const { return socketError_; }
 
@@ -77,6 +80,7 @@
     loop::TimeMs advertisedIdleMs_ = 0; // from the `Keep-Alive` field; 0 without one
     std::size_t receivedBytes_ = 0;
     int socketError_ = 0;
+    bool delimitedByClose_ = false;
 };
 
 /// An HTTP/1.1 client with a small pool of idle connections per address; requests are not pipelined.
--- a/src/goldcrestcleat/http/MessageReader.h
+++ b/src/goldcrestcleat/http/MessageReader.h
@@ -51,6 +51,9 @@
     /// Signals that the sender has closed the connection, which completes a body that extends to the end of the stream.
     void endOfStream();
 
+    /// Returns whether the body being read extends to the end of the stream.
+    bool isDelimitedByClose() const { return state_ == State::UntilClose; }
+
     /// Returns the number of buffered bytes that have not been parsed.
     std::size_t buffered() const { return buffer_.size() - consumed_; }
 
--- a/src/goldcrestcleat/observe/Metrics.cpp
+++ b/src/goldcrestcleat/observe/Metrics.cpp
@@ -57,6 +57,8 @@
     , sharedTokens_(counter(*registry_, "goldcrestcleat_shared_tokens_total",
           "Prompt tokens that requests share with others, by where their context was expected"))
     , storeCalls_(counter(*registry_, "goldcrestcleat_store_calls_total", "Calls to the store by call and outcome"))
+    , closedAnswers_(counter(*registry_, "goldcrestcleat_closed_answers_total",
+          "Answers without a length that ended with their connection, by whether their server was still running"))
     , logLinesLost_(counter(*registry_, "goldcrestcleat_log_lines_lost_total",
           "Lines left out to bound the volume, or not taken by a reader"))
     , quarantineRefusals_(counter(*registry_, "goldcrestcleat_quarantine_refusals_total",
@@ -145,6 +147,11 @@
     iterationTime_->Observe(durationMs / MS_PER_SECOND);
 }
 
+void Metrics::onClosedAnswer(bool isServerRunning)
+{
+    closedAnswers_.Add({ { "server", isServerRunning ? "running" : "ended" } }).Increment();
+}
+
 void Metrics::onRetry(const std::string& reason) { retries_.Add({ { "reason", reason } }).Increment(); }
 
 void Metrics::onQuarantineRefusal(const std::string& fingerprint)
--- a/src/goldcrestcleat/observe/Metrics.h
+++ b/src/goldcrestcleat/observe/Metrics.h
@@ -38,6 +38,9 @@
 
     void onRetry(const std::string& reason);
 
+    /// Counts a response without a length that ended with its connection, by whether its server was still running.
+    void onClosedAnswer(bool isServerRunning);
+
     /// Counts a request that is sent to a server which is cold or may be.
     void onColdStart() { coldStarts_->Increment(); }
 
@@ -101,6 +104,7 @@
     prometheus::Family<prometheus::Counter>& controlBytes_;
     CounterFamily& sharedTokens_;
     CounterFamily& storeCalls_;
+    CounterFamily& closedAnswers_;
     CounterFamily& logLinesLost_;
     CounterFamily& quarantineRefusals_;
     prometheus::Family<prometheus::Gauge>& banCrashes_;
--- a/src/goldcrestcleat/requests/ChatCompletion.cpp
+++ b/src/goldcrestcleat/requests/ChatCompletion.cpp
@@ -85,6 +85,9 @@
     hooks.assessFailure = [this](const forwarding::Failure& failure, const AssessedHook& onAssessed) {
         assessFailure(failure, onAssessed);
     };
+    hooks.confirmRunning = [this](const forwarding::Placement& placement, std::function<void(bool)> onDone) {
+        env_.prober.confirmRunning(placement.server, runId_, std::move(onDone));
+    };
     hooks.tryTakeRetry = [this] { return env_.retryBudget.tryTake(); };
     hooks.encode = [this](const forwarding::Placement& placement, const forwarding::Progress& progress) {
         return encode(placement, progress);
--- a/src/goldcrestcleat/requests/ServiceExchange.cpp
+++ b/src/goldcrestcleat/requests/ServiceExchange.cpp
@@ -79,6 +79,10 @@
                   env_.client.dropIdle(failure.placement.address);
               onAssessed(forwarding::NextServer::Another);
           };
+    hooks.confirmRunning = [this](const forwarding::Placement& placement, std::function<void(bool)> onDone) {
+        const auto* server = env_.directory.find(placement.server);
+        env_.prober.confirmRunning(placement.server, server ? server->runId : "", std::move(onDone));
+    };
     hooks.tryTakeRetry = [this] { return env_.retryBudget.tryTake(); };
     hooks.encode
         = [this](const forwarding::Placement& placement, const forwarding::Progress&) { return encode(placement); };
--- a/src/goldcrestcleat/routes/Configuration.h
+++ b/src/goldcrestcleat/routes/Configuration.h
@@ -62,6 +62,7 @@
     std::string name;
     loop::TimeMs coldMs = 0; ///< how long a server that has turned cold stays cold; 0 if its servers are never cold
     double coldRequestsPerS = 0; ///< requests that a cold server tolerates from all daemons together
+    std::string healthPath {}; ///< of its servers' health checks; empty if not known
 
     /// Returns whether requests to its cold servers are limited.
     bool limitsColdStarts() const { return coldMs > 0 && coldRequestsPerS > 0; }
--- a/src/goldcrestcleat/upstreams/Prober.cpp
+++ b/src/goldcrestcleat/upstreams/Prober.cpp
@@ -49,6 +49,14 @@
     probe(key, http::Client::Reuse::Never, std::move(onDone));
 }
 
+void Prober::confirmRunning(routing::NodeKey key, const std::string& runId, std::function<void(bool isRunning)> onDone)
+{
+    probeNow(key, [runId, onDone = std::move(onDone)](const ProbeResult& result) {
+        const bool isOther = !runId.empty() && !result.runId.empty() && result.runId != runId;
+        onDone(result.isAlive && !isOther);
+    });
+}
+
 void Prober::probeDue()
 {
     for (const Upstream* upstream : directory_.all()) {
--- a/tests/unit/RequestFixture.h
+++ b/tests/unit/RequestFixture.h
@@ -126,6 +126,7 @@
     NextServer nextServer = NextServer::Another;
     int retryBudget = 10;
     bool leavesPlacementPending = false; // the placement never completes, and the caller leaves
+    bool areServersRunning = true; // when an answer ends with its connection
     bool areSuspectsUnavailable = false; // a suspected server is found to be unavailable
     std::int64_t unixMs = 1'700'000'000'000; // time of the quarantine
     admission::Quarantine quarantine { "vm1", [this] { return unixMs; } };
@@ -165,6 +166,8 @@
                 for (const auto& request : std::set<forwarding::ForwardedRequest::Ptr>(environment.openRequests))
                     request->onServerDown();
         };
+        hooks.confirmRunning
+            = [this](const Placement&, const std::function<void(bool)>& done) { done(areServersRunning); };
         hooks.tryTakeRetry = [this] { return retryBudget-- > 0; };
         hooks.encode = [this](const Placement& placement, const forwarding::Progress&) {
             result.sentTo.push_back(placement.serverId);
--- a/tests/unit/early_end_test.cpp
+++ b/tests/unit/early_end_test.cpp
@@ -57,14 +57,13 @@
 }
 
 /// Lets the peer answer the request that it gets next without a length, and then stop to respond.
-void answerAndGoDark(RoutedFixture& f, TcpPeer& peer)
+void answerAndGoDark(RoutedFixture& f, TcpPeer& peer, bool isAccepted = false)
 {
-    f.loop.after(1, [&f, &peer] {
-        if (!peer.tryAccept()) {
-            answerAndGoDark(f, peer);
+    f.loop.after(1, [&f, &peer, isAccepted] {
+        if (!isAccepted || !peer.hasInput()) {
+            answerAndGoDark(f, peer, isAccepted || peer.tryAccept());
             return;
         }
-        while (!peer.hasInput()) { }
         peer.send(beginAnswer(peer.receive(), events(1, 2)));
         f.loop.after(STREAM_MS, [&peer] { peer.goDark(); });
     });
--- /dev/null
+++ b/tests/unit/instance_probe_test.cpp
@@ -0,0 +1,155 @@
+#include "RoutedFixture.h"
+#include "TcpPeer.h"
+
+#include "goldcrestcleat/forwarding/InstanceProbe.h"
+
+using namespace testing;
+using forwarding::InstanceProbe;
+using forwarding::ProbeOutcome;
+
+// Whether the server of an answer without a length is still running when its connection has ended.
+
+namespace {
+
+const http::Request HEALTH_CHECK { "GET", "/health", { { "Expect-Instance", "i-1" } }, "" };
+
+/// Probes an address and returns the outcome, while `step` is called in each iteration of the loop.
+ProbeOutcome probe(
+    loop::EventLoop& loop, const std::string& address, const std::optional<http::Request>& request = HEALTH_CHECK,
+    const std::function<void()>& step = [] {})
+{
+    http::Client client(loop, http::Limits());
+    const auto dialect = platform::makeHeaderDialect();
+    std::optional<ProbeOutcome> outcome;
+    int calls = 0;
+    InstanceProbe::start(loop, client,
+        { address, request, [&](const Poco::Net::HTTPResponse& head) { return dialect.isFromInstance(head, "i-1"); } },
+        [&](ProbeOutcome result) {
+            outcome = result;
+            ++calls;
+        });
+    cr_assert_not(outcome.has_value(), "reported before the probe was started");
+    while (!outcome) {
+        loop.runOnce();
+        step();
+    }
+    bool hasWaited = false;
+    loop.after(2 * InstanceProbe::ANSWER_TIMEOUT_MS, [&] { hasWaited = true; });
+    while (!hasWaited)
+        loop.runOnce();
+    cr_assert_eq(calls, 1);
+    return *outcome;
+}
+
+/// Probes a server that answers with a status and fields.
+ProbeOutcome probeServer(int status, const http::Fields& fields)
+{
+    loop::EventLoop loop;
+    http::Server server(
+        loop, "127.0.0.1:0", http::Limits(), http::ServerTimeouts(),
+        [&](const http::Exchange::Ptr& exchange) { exchange->reply(status, fields, "{}"); },
+        [](const http::Exchange::Ptr&, errors::ResultCode, const std::string&) {});
+    return probe(loop, server.address());
+}
+
+} // namespace
+
+Test(instance_probe, any_answer_but_that_of_another_instance_shows_that_the_server_runs)
+{
+    cr_assert(probeServer(200, { { "Instance-Id", "i-1" } }) == ProbeOutcome::Answered);
+    cr_assert(probeServer(200, {}) == ProbeOutcome::Answered);
+    cr_assert(probeServer(503, { { "Not-Executed", "1" } }) == ProbeOutcome::Answered);
+    cr_assert(probeServer(404, {}) == ProbeOutcome::Answered);
+    cr_assert(probeServer(200, { { "Instance-Id", "i-2" } }) == ProbeOutcome::AnsweredByOther);
+    cr_assert(probeServer(421, {}) == ProbeOutcome::AnsweredByOther);
+    cr_assert(showsRunning(ProbeOutcome::Answered) && !showsRunning(ProbeOutcome::AnsweredByOther));
+}
+
+Test(instance_probe, a_port_that_refuses_connections_shows_that_the_server_has_ended, .timeout = 20)
+{
+    TcpPeer peer;
+    const std::string address = peer.address();
+    peer.stopListening();
+    for (const auto& request : { std::optional<http::Request>(HEALTH_CHECK), std::optional<http::Request>() }) {
+        loop::EventLoop loop;
+        cr_assert(probe(loop, address, request) == ProbeOutcome::Unreachable);
+    }
+    cr_assert_not(showsRunning(ProbeOutcome::Unreachable));
+}
+
+Test(instance_probe, a_server_that_accepts_the_connection_but_is_too_busy_to_answer_runs, .timeout = 20)
+{
+    for (const auto& request : { std::optional<http::Request>(HEALTH_CHECK), std::optional<http::Request>() }) {
+        loop::EventLoop loop;
+        TcpPeer peer;
+        cr_assert(probe(loop, peer.address(), request) == ProbeOutcome::Silent);
+    }
+    cr_assert(showsRunning(ProbeOutcome::Silent));
+}
+
+/// A proxy accepts connections to a server that has ended, and closes them.
+Test(instance_probe, connections_that_are_closed_without_an_answer_do_not_show_that_the_server_runs, .timeout = 20)
+{
+    for (const bool isReset : { false, true }) {
+        loop::EventLoop loop;
+        TcpPeer peer;
+        int accepted = 0;
+        const auto outcome = probe(loop, peer.address(), HEALTH_CHECK, [&] {
+            if (!peer.tryAccept())
+                return;
+            ++accepted;
+            isReset ? peer.reset() : peer.close();
+        });
+        // A reset may arrive before the connection is seen to be open.
+        cr_assert(outcome == ProbeOutcome::Closed || (isReset && outcome == ProbeOutcome::Unreachable));
+        cr_assert_eq(accepted, 2);
+    }
+    cr_assert_not(showsRunning(ProbeOutcome::Closed));
+}
+
+/// A server closes a connection above its limit, and accepts the next one.
+Test(instance_probe, a_single_connection_that_is_closed_does_not_count, .timeout = 20)
+{
+    loop::EventLoop loop;
+    TcpPeer peer;
+    int accepted = 0;
+    const auto outcome = probe(loop, peer.address(), HEALTH_CHECK, [&] {
+        if (!peer.tryAccept())
+            return;
+        if (++accepted == 1)
+            peer.reset();
+    });
+    cr_assert(outcome == ProbeOutcome::Silent);
+}
+
+/// The address of a server that has ended may be taken over, or its process started again, before the probe.
+Test(instance_probe, an_answer_is_no_success_when_another_instance_has_the_address_of_its_server, .timeout = 20)
+{
+    for (const bool isRestartKnown : { false, true }) {
+        RoutedFixture f;
+        f.service.healthPath = "/health";
+        f.route.kind = routes::CallKind::NonIdempotent;
+        f.configure();
+        TcpPeer peer;
+        f.addServerAt("ended", peer.address());
+        bool isAccepted = false; // a connection that has not been answered
+        bool hasAnswered = false;
+        f.loop.every(1, [&] {
+            isAccepted = isAccepted || peer.tryAccept();
+            if (!isAccepted || !peer.hasInput())
+                return;
+            isAccepted = false;
+            peer.receive();
+            if (hasAnswered) {
+                peer.send("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
+            hasAnswered = true;
+            peer.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n\r\nanswer ");
+            peer.close();
+            if (isRestartKnown)
+                f.servers.put(f.entryOf("ended", 2), f.loop.now());
+        });
+        cr_assert_eq(f.call().status, 502);
+    }
+}
