Do not repeat events to a caller that resumes a stream itself

Cause: the position of a stream was only known from its first forwarded event on; the one that the caller states was passed to the server and not held against the answer.

Change: the position that the caller states is that of the stream from its beginning.

Measured: stream_order, a_stream_that_its_caller_resumes_goes_on_after_the_last_event, failed before by a server that starts from the first event (all six were passed on), passes now. Ten cases of streams that go on elsewhere passed before too.

--- a/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.cpp
@@ -31,6 +31,7 @@
     , exchange_(std::move(exchange))
     , plan_(std::move(plan))
     , hooks_(std::move(hooks))
+    , position_(plan_.position)
 {
 }
 
--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -199,7 +199,7 @@
     bool isComplete_ = false; // the event that completes the stream was received
     bool isCallerSlow_ = false; // reading is paused until the output buffered for the caller has drained
     bool isEnded_ = false;
-    std::optional<std::uint64_t> position_; // id of the last event forwarded to the caller
+    std::optional<std::uint64_t> position_; // id of the last event that the caller has
     loop::TimeMs longestPauseMs_ = 0; // between two reads of a response body
     loop::TimeMs timeToHeadMs_ = 0; // from the arrival to the first response head
     std::string output_; // events that have yet to be written to the caller
--- a/src/goldcrestcleat/forwarding/RequestHooks.h
+++ b/src/goldcrestcleat/forwarding/RequestHooks.h
@@ -23,6 +23,8 @@
     std::string requestId; ///< as known to the caller
     std::string kind; ///< label for metrics and logs, one of a few values
     bool isStream = false; ///< a successful response is an event stream
+    std::optional<std::uint64_t>
+        position; ///< id of the last event that the caller has already; the stream goes on after
     bool requiresEndMarker = false; ///< a stream is complete only after an explicit final event
     bool mayRepeat = false; ///< may be executed more than once
     bool continuesWithoutCaller = false; ///< runs on after the caller disconnects, so that a retry finds the response
@@ -62,7 +64,7 @@
 struct Progress {
     std::vector<routing::NodeKey> tried; ///< servers that it was sent to
     loop::TimeMs remainingMs = 0;
-    std::optional<std::uint64_t> position; ///< id of the last event forwarded to the caller
+    std::optional<std::uint64_t> position; ///< id of the last event that the caller has
 };
 
 /// The head of a server's response.
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -115,6 +115,7 @@
     plan.requestId = inbound_.requestId;
     plan.kind = kindName();
     plan.isStream = route_->kind == CallKind::Stream;
+    plan.position = inbound_.lastEventId;
     plan.mayRepeat = route_->mayRepeat();
     plan.attempts = route_->attempts;
     plan.timeoutMs = timeoutMs();
@@ -194,7 +195,7 @@
     metadata.deadlineMs = progress.remainingMs;
     metadata.workspace = workspace_ ? workspace_->name : "";
     metadata.priority = workspace_ && workspace_->priority ? workspace_->priority : route_->priority;
-    metadata.lastEventId = progress.position ? progress.position : inbound_.lastEventId;
+    metadata.lastEventId = progress.position;
     metadata.fetchFrom = placement.fetchFrom;
     return env_.dialect.encode(*exchange_, metadata);
 }
