Do not end a stream before the event at which it was to go on

Cause: events up to the position are skipped, and the end after them was taken for the end of the whole stream. Two servers then contradict each other, and one of them has not sent everything.

Change: an attempt remembers its last event; an end before the position is an invalid answer.

--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -75,6 +75,7 @@
         bool hasBody = false; ///< a part of the response body has arrived
         bool isSuspected = false; ///< the server has been reported as unresponsive since the last progress
         EventReader events;
+        std::optional<std::uint64_t> lastEventId; ///< of this response, forwarded or not
         std::string body; ///< of a response that is not a stream
         std::unique_ptr<AnswerBuffers::Share> memory; ///< of the body or of a large partial event
         bool isPaused = false; ///< reading is paused for lack of memory
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -191,6 +191,8 @@
     const ParsedEvent parsed = hooks_.readEvent(event, position_);
     if (parsed.kind == ParsedEvent::Kind::Invalid)
         return false;
+    if (event.id)
+        attempt_.lastEventId = event.id;
     if (parsed.hasContent && attempt_.hasBody && !isCallerSlow_)
         recordPace(env_.loop.now() - lastProgressAt_);
     if (parsed.hasContent || !attempt_.hasBody)
@@ -229,6 +231,8 @@
         onRejected();
     else if (isStream && (attempt_.events.hasPartialEvent() || plan_.requiresEndMarker))
         onBroken(FailureKind::Broken, "stream ended before it was complete");
+    else if (isStream && attempt_.lastEventId && attempt_.lastEventId < position_)
+        onBroken(FailureKind::Invalid, "stream ended before the event at which it was to go on");
     else if (!attempt_.call->isDelimitedByClose())
         completeAnswer();
     else if (isStream && !attempt_.hasBody)
--- a/tests/unit/stream_order_test.cpp
+++ b/tests/unit/stream_order_test.cpp
@@ -66,9 +66,10 @@
         { "after a gap", events(5, 6), events(1, 3), false },
         { "with a gap later", event(4) + event(6), events(1, 4), false },
         { "with an event twice", event(4) + event(4) + event(5), events(1, 5), true },
-        { "with numbers that restart", event(4) + events(1, 2), events(1, 4), true },
+        { "with numbers that restart", event(4) + events(1, 2), events(1, 4), false },
         { "with half of an event at its end", event(4) + "id: 5\ndata: pa", events(1, 4), false },
         { "without numbers", "data: part\n\n", events(1, 3), false },
+        { "with an end before the position", events(1, 2), events(1, 3), false },
     };
     for (const auto& c : cases) {
         RoutedFixture f;
@@ -88,6 +89,7 @@
         { "from the beginning", events(1, 6), events(4, 6), true },
         { "with nothing left to send", "", "", true },
         { "after a gap", events(5, 6), "", false },
+        { "with an end before the position", events(1, 2), "", false },
     };
     for (const auto& c : cases) {
         RoutedFixture f;
