An engine that does not answer a probe does not confirm its answer

A probe that is not answered counted as a sign of a busy server. Engines report without a free slot, and a process that has ended may have an address that accepts connections and stays silent: a listening socket that another process holds. For engines, whose answers are nearly all streams, silence of 400 ms is now no confirmation; for other servers, which answer health checks only with a free slot, it still is after 150 ms.

--- a/src/goldcrestcleat/forwarding/InstanceProbe.cpp
+++ b/src/goldcrestcleat/forwarding/InstanceProbe.cpp
@@ -46,7 +46,7 @@
         self->finish(point == http::FailurePoint::NotSent ? ProbeOutcome::Unreachable : ProbeOutcome::Closed);
     };
     call_ = client_.start(target_.address, *target_.request, std::move(hooks), http::Client::Reuse::Never);
-    timer_ = loop_.after(ANSWER_TIMEOUT_MS, [self] { self->onTimeout(); });
+    timer_ = loop_.after(answerTimeoutMs(), [self] { self->onTimeout(); });
 }
 
 void InstanceProbe::connectOnly()
@@ -64,7 +64,7 @@
     const bool isConnected = call_ && call_->isConnected();
     if (onDone_ && !isConnected && loop_.now() - startedAt_ < CONNECT_TIMEOUT_MS) {
         timer_
-            = loop_.after(CONNECT_TIMEOUT_MS - ANSWER_TIMEOUT_MS, [self = shared_from_this()] { self->onTimeout(); });
+            = loop_.after(CONNECT_TIMEOUT_MS - answerTimeoutMs(), [self = shared_from_this()] { self->onTimeout(); });
         return;
     }
     if (const auto call = std::exchange(call_, nullptr))
--- a/src/goldcrestcleat/forwarding/InstanceProbe.h
+++ b/src/goldcrestcleat/forwarding/InstanceProbe.h
@@ -13,15 +13,16 @@
 enum class ProbeOutcome {
     Answered,
     AnsweredByOther, ///< another instance has its address
-    Silent, ///< it accepted the connection and did not answer in time, as a busy server does
+    Silent, ///< it accepted the connection and did not answer in time
     Closed, ///< the connection was closed without an answer
     Unreachable ///< no connection could be opened in time
 };
 
-/// Returns whether the instance was running when it was probed. A process that has ended accepts no connections.
-constexpr bool showsRunning(ProbeOutcome outcome)
+/// Returns whether the instance was running when it was probed. A process that has ended accepts no connections. A
+/// server that answers probes only when it has a free slot may be silent because it is busy.
+constexpr bool showsRunning(ProbeOutcome outcome, bool mayWaitForSlot)
 {
-    return outcome == ProbeOutcome::Answered || outcome == ProbeOutcome::Silent;
+    return outcome == ProbeOutcome::Answered || (outcome == ProbeOutcome::Silent && mayWaitForSlot);
 }
 
 /// Returns whether a second probe may have another outcome: a packet may have been lost, or the server may have had too
@@ -34,8 +35,11 @@
 /// Finds out over a new connection whether a server instance is still running, by up to two probes.
 class InstanceProbe : public std::enable_shared_from_this<InstanceProbe> {
 public:
-    /// Time for an answer. A server that has accepted the connection by then counts as busy.
-    static constexpr loop::TimeMs ANSWER_TIMEOUT_MS = 150;
+    /// Time for the answer of a server that answers only when it has a free slot.
+    static constexpr loop::TimeMs SLOT_TIMEOUT_MS = 150;
+
+    /// Time for the answer of a server that answers at once.
+    static constexpr loop::TimeMs ANSWER_TIMEOUT_MS = 400;
 
     /// Time for opening a connection. TCP retransmits a lost SYN only after 1 s.
     static constexpr loop::TimeMs CONNECT_TIMEOUT_MS = 400;
@@ -43,6 +47,7 @@
     struct Target {
         std::string address; ///< IP:port
         std::optional<http::Request> request; ///< must have no effect; nothing is sent without one
+        bool mayWaitForSlot = true; ///< the server answers it only when it has a free slot
         std::function<bool(const Poco::Net::HTTPResponse&)> isFromInstance; ///< unless another instance sent it
     };
     using DoneHook = std::function<void(ProbeOutcome)>;
@@ -56,6 +61,7 @@
 private:
     void probe();
     void connectOnly();
+    loop::TimeMs answerTimeoutMs() const { return target_.mayWaitForSlot ? SLOT_TIMEOUT_MS : ANSWER_TIMEOUT_MS; }
     void onTimeout();
     void finish(ProbeOutcome outcome);
 
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -260,13 +260,13 @@
         onDone(false); // restarted since
         return;
     }
-    const ProbedInstance instance { placement.serverId, server && server->entry.isEngine,
-        serviceEntry_ ? serviceEntry_->healthPath : "" };
+    const bool isEngine = server && server->entry.isEngine;
+    const ProbedInstance instance { placement.serverId, isEngine, serviceEntry_ ? serviceEntry_->healthPath : "" };
     InstanceProbe::start(env_.requests.loop, env_.requests.client,
-        { placement.address, env_.dialect.encodeProbe(instance),
+        { placement.address, env_.dialect.encodeProbe(instance), !isEngine,
             [&dialect = env_.dialect, id = placement.serverId](
                 const Poco::Net::HTTPResponse& head) { return dialect.isFromInstance(head, id); } },
-        [onDone = std::move(onDone)](ProbeOutcome outcome) { onDone(showsRunning(outcome)); });
+        [onDone = std::move(onDone), isEngine](ProbeOutcome outcome) { onDone(showsRunning(outcome, !isEngine)); });
 }
 
 /// Reports that a request was not executed only if that is certain.
--- a/tests/unit/instance_probe_test.cpp
+++ b/tests/unit/instance_probe_test.cpp
@@ -23,7 +23,8 @@
     std::optional<ProbeOutcome> outcome;
     int calls = 0;
     InstanceProbe::start(loop, client,
-        { address, request, [&](const Poco::Net::HTTPResponse& head) { return dialect.isFromInstance(head, "i-1"); } },
+        { address, request, true,
+            [&](const Poco::Net::HTTPResponse& head) { return dialect.isFromInstance(head, "i-1"); } },
         [&](ProbeOutcome result) {
             outcome = result;
             ++calls;
@@ -34,7 +35,7 @@
         step();
     }
     bool hasWaited = false;
-    loop.after(2 * InstanceProbe::ANSWER_TIMEOUT_MS, [&] { hasWaited = true; });
+    loop.after(2 * InstanceProbe::SLOT_TIMEOUT_MS, [&] { hasWaited = true; });
     while (!hasWaited)
         loop.runOnce();
     cr_assert_eq(calls, 1);
@@ -52,6 +53,34 @@
     return probe(loop, server.address());
 }
 
+/// Returns the status of an answer without a length whose server accepts the connection of the probe and is silent.
+int statusWithSilentProbe(bool isEngine)
+{
+    RoutedFixture f;
+    f.service.healthPath = "/health";
+    f.route.kind = routes::CallKind::NonIdempotent;
+    f.configure();
+    TcpPeer peer;
+    f.addServerAt("silent", peer.address());
+    upstreams::ServerEntry entry = f.entryOf("silent");
+    entry.isEngine = isEngine;
+    f.servers.put(entry, f.loop.now());
+    bool isAccepted = false;
+    bool hasAnswered = false;
+    f.loop.every(1, [&] {
+        if (hasAnswered || (!isAccepted && !peer.tryAccept()))
+            return;
+        isAccepted = true;
+        if (!peer.hasInput())
+            return;
+        hasAnswered = true;
+        peer.receive();
+        peer.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n\r\nanswer");
+        peer.close();
+    });
+    return f.call().status;
+}
+
 } // namespace
 
 Test(instance_probe, any_answer_but_that_of_another_instance_shows_that_the_server_runs)
@@ -62,7 +91,7 @@
     cr_assert(probeServer(404, {}) == ProbeOutcome::Answered);
     cr_assert(probeServer(200, { { "Instance-Id", "i-2" } }) == ProbeOutcome::AnsweredByOther);
     cr_assert(probeServer(421, {}) == ProbeOutcome::AnsweredByOther);
-    cr_assert(showsRunning(ProbeOutcome::Answered) && !showsRunning(ProbeOutcome::AnsweredByOther));
+    cr_assert(showsRunning(ProbeOutcome::Answered, false) && !showsRunning(ProbeOutcome::AnsweredByOther, true));
 }
 
 Test(instance_probe, a_port_that_refuses_connections_shows_that_the_server_has_ended, .timeout = 20)
@@ -74,17 +103,17 @@
         loop::EventLoop loop;
         cr_assert(probe(loop, address, request) == ProbeOutcome::Unreachable);
     }
-    cr_assert_not(showsRunning(ProbeOutcome::Unreachable));
+    cr_assert_not(showsRunning(ProbeOutcome::Unreachable, true));
 }
 
-Test(instance_probe, a_server_that_accepts_the_connection_but_is_too_busy_to_answer_runs, .timeout = 20)
+Test(instance_probe, a_silent_server_may_be_busy_if_it_needs_a_slot_to_answer, .timeout = 20)
 {
     for (const auto& request : { std::optional<http::Request>(HEALTH_CHECK), std::optional<http::Request>() }) {
         loop::EventLoop loop;
         TcpPeer peer;
         cr_assert(probe(loop, peer.address(), request) == ProbeOutcome::Silent);
     }
-    cr_assert(showsRunning(ProbeOutcome::Silent));
+    cr_assert(showsRunning(ProbeOutcome::Silent, true) && !showsRunning(ProbeOutcome::Silent, false));
 }
 
 /// A proxy accepts connections to a server that has ended, and closes them.
@@ -104,7 +133,7 @@
         cr_assert(outcome == ProbeOutcome::Closed || (isReset && outcome == ProbeOutcome::Unreachable));
         cr_assert_eq(accepted, 2);
     }
-    cr_assert_not(showsRunning(ProbeOutcome::Closed));
+    cr_assert_not(showsRunning(ProbeOutcome::Closed, true));
 }
 
 /// A server closes a connection above its limit, and accepts the next one.
@@ -153,3 +182,9 @@
         cr_assert_eq(f.call().status, 502);
     }
 }
+
+Test(instance_probe, an_engine_that_is_silent_does_not_confirm_its_answer, .timeout = 20)
+{
+    cr_assert_eq(statusWithSilentProbe(false), 200);
+    cr_assert_eq(statusWithSilentProbe(true), 502);
+}
