Do not compare the server of a service call with an earlier process

Callers of `serve` got 409 (4003, executed unknown) for a sound answer of a service without a length if the service had been restarted and the daemon had not probed it since; a call that may be repeated ran again instead. A daemon probes the servers that it owns every two seconds, and keeps the id that it saw last of those that it no longer owns.

Cause, since: the run that the directory knew was taken for the one that had answered. Answers of services do not state their run, so that it is no longer compared; answers of engines do, and are.

--- a/src/goldcrestcleat/requests/ServiceExchange.cpp
+++ b/src/goldcrestcleat/requests/ServiceExchange.cpp
@@ -79,9 +79,9 @@
                   env_.client.dropIdle(failure.placement.address);
               onAssessed(forwarding::NextServer::Another);
           };
+    // Answers of services do not state their run, and the directory may know only an earlier one.
     hooks.confirmRunning = [this](const forwarding::Placement& placement, std::function<void(bool)> onDone) {
-        const auto* server = env_.directory.find(placement.server);
-        env_.prober.confirmRunning(placement.server, server ? server->runId : "", std::move(onDone));
+        env_.prober.confirmRunning(placement.server, /*runId*/ "", std::move(onDone));
     };
     hooks.tryTakeRetry = [this] { return env_.retryBudget.tryTake(); };
     hooks.encode
--- a/tests/fleet/unframed_answers_test.cpp
+++ b/tests/fleet/unframed_answers_test.cpp
@@ -111,3 +111,17 @@
         cr_assert(answer.body == BODY, "%s", answer.body.c_str());
     }
 }
+
+// Guards against comparing the server of a sound answer with a process that had its address before.
+Test(unframed_answers, a_sound_answer_is_passed_on_when_its_server_was_restarted_before)
+{
+    UnframedRig f(answerAs("run1", End::Close));
+    cr_assert(f.server.awaitReply(End::Length), "the daemon did not probe the server");
+    cr_assert_eq(f.rig.callService(0, "GET", "/visits", "").status, 200);
+    f.server.restart(answerAs("run2", End::Close));
+    for (const auto& answer :
+        { f.rig.callService(0, "POST", "/confirm", "k", "{}"), f.rig.callService(0, "GET", "/visits", "") }) {
+        cr_assert_eq(answer.status, 200, "%d %s", answer.status, answer.body.c_str());
+        cr_assert(answer.body == BODY, "%s", answer.body.c_str());
+    }
+}
