--- a/tests/fleet/unframed_answers_test.cpp
+++ b/tests/fleet/own_interface_ends_test.cpp
@@ -74,7 +74,7 @@
 } // namespace
 
 // Guards against a plain chat answer that is passed on as a success although its engine was killed.
-Test(unframed_answers, a_chat_answer_is_no_success_when_the_process_of_its_engine_is_killed)
+Test(own_interface_ends, a_chat_answer_is_no_success_when_the_process_of_its_engine_is_killed)
 {
     UnframedRig f(answerAs("run1", End::None, BODY.substr(0, BODY.size() / 2)));
     const auto answer = f.killDuring([&] { return f.callChat(); });
@@ -83,7 +83,7 @@
 }
 
 // Guards against a call that is passed on as a success although its service was killed, and against a stored answer.
-Test(unframed_answers, a_service_call_is_no_success_when_the_process_of_its_server_is_killed)
+Test(own_interface_ends, a_service_call_is_no_success_when_the_process_of_its_server_is_killed)
 {
     for (const char* method : { "GET", "POST" }) {
         const bool isAction = std::string(method) == "POST";
@@ -102,7 +102,7 @@
 }
 
 // Guards against refusing a sound answer for its missing length.
-Test(unframed_answers, sound_answers_are_passed_on_whole)
+Test(own_interface_ends, sound_answers_are_passed_on_whole)
 {
     UnframedRig f(answerAs("run1", End::Close));
     for (const auto& answer : { f.callChat(), f.rig.callService(0, "GET", "/visits", ""),
@@ -113,7 +113,7 @@
 }
 
 // Guards against comparing the server of a sound answer with a process that had its address before.
-Test(unframed_answers, a_sound_answer_is_passed_on_when_its_server_was_restarted_before)
+Test(own_interface_ends, a_sound_answer_is_passed_on_when_its_server_was_restarted_before)
 {
     UnframedRig f(answerAs("run1", End::Close));
     cr_assert(f.server.awaitReply(End::Length), "the daemon did not probe the server");
