Let test callers recognise answers that break off

`harness::call` reported an answer in chunks as whole that was closed between two chunks or in one, and any answer without a length or in chunks whose connection was reset. No test of ours relied on it: streams are judged by their end marker or last chunk, and other answers of the daemon have a length. A test that checks only the status and `isBroken` would have passed with a cut answer.

Cause: POCO's session streams hide errors of the connection, and end at a missing chunk line as at the last chunk. The answer is now read by the project's own reader, and an end after a failed write is no end.

The other fleet tests were not run.

--- a/tests/fleet/UnframedServer.h
+++ b/tests/fleet/UnframedServer.h
@@ -28,6 +28,7 @@
         enum class End {
             Length, ///< the length is stated
             Close, ///< the connection is closed after the body
+            Reset, ///< the connection is reset after the body
             None ///< the connection stays open after the body
         };
 
@@ -111,6 +112,8 @@
                 bytes += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n";
             bytes += "\r\n" + reply.body;
             connection.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+            if (reply.end == Reply::End::Reset)
+                connection.setLinger(true, 0);
             const char sent = static_cast<char>(reply.end);
             if (::write(sentPipe_[1], &sent, 1) != 1)
                 ::_exit(1);
--- a/tools/harness/Caller.cpp
+++ b/tools/harness/Caller.cpp
@@ -1,6 +1,7 @@
 #include "harness/Caller.h"
 
 #include "../../standins/AnswerText.h"
+#include "goldcrestcleat/http/MessageReader.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
@@ -18,6 +19,41 @@
 
 using nlohmann::json;
 
+namespace {
+
+    constexpr http::Limits ANSWER_LIMITS { 64 * 1024, 64 * 1024 * 1024 };
+
+    /// Receives an answer up to its end. The streams of POCO's sessions hide errors of the connection and ends between
+    /// two chunks.
+    void receive(Poco::Net::StreamSocket& socket, bool isHead, bool wasSent, Answer& answer)
+    {
+        bool isInvalid = false;
+        http::MessageReader::Hooks hooks;
+        hooks.onResponseHead = [&](const Poco::Net::HTTPResponse& head) {
+            answer.status = head.getStatus();
+            for (const auto& [name, value] : head)
+                answer.headers[name] = value;
+        };
+        hooks.onBody = [&](std::string_view part) { answer.body.append(part); };
+        hooks.onEnd = [&] { answer.isBroken = false; };
+        hooks.onError = [&](errors::ResultCode, const std::string&) { isInvalid = true; };
+        http::MessageReader reader(http::MessageReader::Kind::Response, ANSWER_LIMITS, std::move(hooks));
+        if (isHead)
+            reader.expectNoBody();
+        char buffer[8192];
+        while (answer.isBroken && !isInvalid) {
+            const int count = socket.receiveBytes(buffer, sizeof buffer);
+            if (count <= 0) {
+                if (wasSent) // otherwise the write has taken the error of the connection
+                    reader.endOfStream();
+                return;
+            }
+            reader.feed(std::string_view(buffer, static_cast<std::size_t>(count)));
+        }
+    }
+
+} // namespace
+
 int Answer::errorCode() const
 {
     const nlohmann::json document = json();
@@ -34,6 +70,7 @@
     const Headers& headers, int timeoutMs)
 {
     Answer answer;
+    answer.isBroken = true; // until its end
     try {
         Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress(address) };
         session.setTimeout(Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(timeoutMs) * 1000));
@@ -42,19 +79,11 @@
             request.set(name, value);
         if (!body.empty() || method == "POST")
             request.setContentLength64(static_cast<Poco::Int64>(body.size()));
-        session.sendRequest(request) << body;
-        Poco::Net::HTTPResponse response;
-        std::istream& in = session.receiveResponse(response);
-        answer.status = response.getStatus();
-        for (const auto& [name, value] : response)
-            answer.headers[name] = value;
-        char buffer[8192];
-        while (in.read(buffer, sizeof buffer) || in.gcount() > 0)
-            answer.body.append(buffer, static_cast<std::size_t>(in.gcount()));
-        const auto length = response.getContentLength64();
-        answer.isBroken = length >= 0 && static_cast<std::size_t>(length) != answer.body.size() && method != "HEAD";
+        std::ostream& out = session.sendRequest(request);
+        out << body << std::flush;
+        receive(session.socket(), method == "HEAD", out.good(), answer);
     } catch (const Poco::Exception&) {
-        answer.isBroken = true;
+        // What has been received so far is returned.
     }
     return answer;
 }
