Probe a server a second time before a sound answer counts as broken off

Callers of `serve` got a failure for a sound answer without a length, or a second run of it, if the one probe that was to confirm its server failed, for example because a packet was lost: TCP sends a lost SYN again only after a second, and a probe may take 0.8 s. `front` probes up to two times already. A process that has ended refuses the second connection too.

--- a/src/goldcrestcleat/upstreams/Prober.cpp
+++ b/src/goldcrestcleat/upstreams/Prober.cpp
@@ -51,9 +51,15 @@
 
 void Prober::confirmRunning(routing::NodeKey key, const std::string& runId, std::function<void(bool isRunning)> onDone)
 {
-    probeNow(key, [runId, onDone = std::move(onDone)](const ProbeResult& result) {
+    const auto decide = [runId, onDone = std::move(onDone)](const ProbeResult& result) {
         const bool isOther = !runId.empty() && !result.runId.empty() && result.runId != runId;
         onDone(result.isAlive && !isOther);
+    };
+    probeNow(key, [this, key, decide](const ProbeResult& result) {
+        if (result.isAlive)
+            decide(result);
+        else // a packet may have been lost
+            probeNow(key, decide);
     });
 }
 
--- a/src/goldcrestcleat/upstreams/Prober.h
+++ b/src/goldcrestcleat/upstreams/Prober.h
@@ -33,8 +33,8 @@
     /// Probes one upstream immediately over a new connection.
     void probeNow(routing::NodeKey key, std::function<void(const ProbeResult&)> onDone);
 
-    /// Finds out over a new connection whether the process with a run id is still running. Any process counts if the id
-    /// is empty or the upstream does not state one.
+    /// Finds out over a new connection whether the process with a run id is still running, by up to two probes. Any
+    /// process counts if the id is empty or the upstream does not state one.
     void confirmRunning(routing::NodeKey key, const std::string& runId, std::function<void(bool isRunning)> onDone);
 
     std::uint64_t bytes() const { return client_.bytesIn() + client_.bytesOut(); }
