Ignore fields of other types in health documents

What operators would see: a daemon that runs `serve` ends by an uncaught exception when a server's health document has a `state` or `run` that is no text. Cause: the JSON library throws for a member of another type.

Measured: the new test of prober_test ends by the exception before, passes now; prober_test 4 of 4.

--- a/src/goldcrestcleat/upstreams/Prober.cpp
+++ b/src/goldcrestcleat/upstreams/Prober.cpp
@@ -14,6 +14,13 @@
     constexpr loop::TimeMs SCHEDULE_PERIOD_MS = 100;
     constexpr std::size_t MAX_RESPONSE_BYTES = 4096;
 
+    /// Returns a text, or an empty one if the member is absent or of another type.
+    std::string textOf(const nlohmann::json& document, const char* name)
+    {
+        const auto member = document.find(name);
+        return member != document.end() && member->is_string() ? member->get<std::string>() : "";
+    }
+
     ProbeResult parseResponse(int status, const std::string& body)
     {
         ProbeResult result;
@@ -21,11 +28,11 @@
         result.isAlive = status == 200 && document.is_object();
         if (!result.isAlive)
             return result;
-        result.isLeaving = document.value("state", "serving") == "leaving";
+        result.isLeaving = textOf(document, "state") == "leaving";
         const auto load = document.find("server_load");
         if (load != document.end() && load->is_number_integer())
             result.running = load->get<int>();
-        result.runId = document.value("run", "");
+        result.runId = textOf(document, "run");
         return result;
     }
 
--- a/tests/unit/prober_test.cpp
+++ b/tests/unit/prober_test.cpp
@@ -34,6 +34,36 @@
     return reports;
 }
 
+/// Answers two probes with a body that the prober does not take for a report, and returns whether it takes the third.
+bool goesOnAfter(const std::string& body)
+{
+    loop::EventLoop loop;
+    int probes = 0;
+    http::Server engine(
+        loop, "127.0.0.1:0", http::Limits(), http::ServerTimeouts(),
+        [&](const http::Exchange::Ptr& exchange) {
+            exchange->reply(200, {}, ++probes <= 2 ? body : R"({"state":"serving","run":"r"})");
+        },
+        [](const http::Exchange::Ptr&, errors::ResultCode, const std::string&) {});
+    settings::Settings settings;
+    settings.engines.push_back({ "engine1", engine.address(), "dc1", "m" });
+    routing::LoadView view(500);
+    upstreams::UpstreamDirectory directory(settings, view);
+    upstreams::Prober prober(loop, directory, {});
+    bool isAlive = false;
+    const auto key = routing::nodeKey("engine1");
+    prober.probeNow(key, [&](const upstreams::ProbeResult&) {
+        prober.probeNow(key, [&](const upstreams::ProbeResult&) {
+            prober.probeNow(key, [&](const upstreams::ProbeResult& result) {
+                isAlive = result.isAlive;
+                loop.stop();
+            });
+        });
+    });
+    loop.run();
+    return isAlive;
+}
+
 /// Returns whether an engine with run `r` is found to run it, if it closes the connections of its first probes.
 bool isConfirmed(int closedProbes, const std::string& expectedRun)
 {
@@ -85,3 +115,10 @@
     cr_assert_not(isConfirmed(0, "earlier"));
     cr_assert_not(isConfirmed(1, "earlier"));
 }
+
+// Guards against a health document with fields of other types, which ended the daemon by an exception.
+Test(prober, a_field_of_another_type_is_ignored)
+{
+    for (const char* body : { R"({"state":5})", R"({"run":5})", R"({"state":null,"run":{}})", R"({"server_load":[]})" })
+        cr_assert(goesOnAfter(body), "%s", body);
+}
