Send no request on the connection of a probe

What callers saw: a call that must not be repeated ran twice (TWICE), or would be refused though it ran.

Cause: the connection of an answered probe went into the pool. Rejections need not name a request, so that a late copy of a rejected probe was taken for the rejection of the next request, which was sent to another server while the first one ran it.

Change: the connection of a probe is closed after its answer.

--- a/src/goldcrestcleat/forwarding/InstanceProbe.cpp
+++ b/src/goldcrestcleat/forwarding/InstanceProbe.cpp
@@ -37,10 +37,12 @@
     }
     const auto self = shared_from_this();
     http::Call::Hooks hooks;
+    // A late copy of the answer could not be told from a rejection of the next request on the connection.
+    hooks.isIdentified = [](const Poco::Net::HTTPResponse&) { return false; };
     hooks.onHead = [self](const Poco::Net::HTTPResponse& head) {
         self->finish(self->target_.isFromInstance(head) ? ProbeOutcome::Answered : ProbeOutcome::AnsweredByOther);
     };
-    hooks.onEnd = [self] { self->call_.reset(); }; // only now, so that its connection can be used again
+    hooks.onEnd = [self] { self->call_.reset(); };
     hooks.onFailure = [self](http::FailurePoint point, const std::string&) {
         self->call_.reset();
         self->finish(point == http::FailurePoint::NotSent ? ProbeOutcome::Unreachable : ProbeOutcome::Closed);
--- a/tests/unit/instance_probe_test.cpp
+++ b/tests/unit/instance_probe_test.cpp
@@ -13,6 +13,49 @@
 
 const http::Request HEALTH_CHECK { "GET", "/health", { { "Expect-Instance", "i-1" } }, "" };
 
+const std::string OPEN_ANSWER = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n\r\nanswer ";
+
+/// A server that answers the requests of one connection after another.
+class StepServer {
+public:
+    /// `answer` is given the number of the connection and a request; it returns whether the connection stays open.
+    using Answer = std::function<bool(int connection, const std::string& request, TcpPeer& peer)>;
+
+    StepServer(loop::EventLoop& loop, Answer answer)
+        : answer_(std::move(answer))
+    {
+        loop.every(1, [this] { step(); });
+    }
+
+    std::string address() const { return peer_.address(); }
+
+private:
+    void step()
+    {
+        if (!isOpen_ && peer_.tryAccept()) {
+            isOpen_ = true;
+            ++connections_;
+        }
+        if (!isOpen_ || !peer_.hasInput())
+            return;
+        const std::string request = peer_.receive();
+        isOpen_ = !request.empty() && answer_(connections_, request, peer_);
+    }
+
+    TcpPeer peer_;
+    Answer answer_;
+    bool isOpen_ = false;
+    int connections_ = 0;
+};
+
+void useServer(RoutedFixture& f, const StepServer& server)
+{
+    f.service.healthPath = "/health";
+    f.route.kind = routes::CallKind::NonIdempotent;
+    f.configure();
+    f.addServerAt("probed", server.address());
+}
+
 /// Probes an address and returns the outcome, while `step` is called in each iteration of the loop.
 ProbeOutcome probe(
     loop::EventLoop& loop, const std::string& address, const std::optional<http::Request>& request = HEALTH_CHECK,
@@ -188,3 +231,34 @@
     cr_assert_eq(statusWithSilentProbe(false), 200);
     cr_assert_eq(statusWithSilentProbe(true), 502);
 }
+
+/// A copy of the rejected probe was taken for the rejection of the next request, which then ran twice.
+Test(instance_probe, a_copy_of_its_answer_does_not_reach_the_next_request, .timeout = 20)
+{
+    const std::string rejection = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    RoutedFixture f;
+    int runs = 0;
+    StepServer server(f.loop, [&](int connection, const std::string& request, TcpPeer& peer) {
+        if (connection == 1) {
+            peer.send(OPEN_ANSWER);
+            peer.close();
+            return false;
+        }
+        if (request.find("Request-Id: r2") == std::string::npos) {
+            peer.send(rejection);
+            return true;
+        }
+        ++runs;
+        peer.send((connection == 2 ? rejection : "")
+            + "HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+        return true;
+    });
+    useServer(f, server);
+    cr_assert_eq(f.call({}, "x").status, 200);
+    f.loop.every(1, [&] {
+        if (runs == 1 && f.arrivals.count("other") == 0)
+            f.addServer("other", [](const http::Exchange::Ptr& exchange) { RoutedFixture::succeed(exchange); });
+    });
+    f.call({}, "x");
+    cr_assert_eq(runs + f.arrivals["other"], 1);
+}
