A server that was started again under its id does not confirm an answer

What callers saw: part of an answer without a length as a success, if its server's process had ended and was back under the same id when it was probed, for example after a daemon had been frozen for seconds (ORDER, MIXED).

Cause: the starts were compared once, before the probe, and the answer by the id only.

Change: the starts are compared when the verdict is made, and the probe's answer is asked for its start too. Only a later start counts against the end, since an older entry may be read again.

--- a/src/goldcrestcleat/forwarding/Dialect.h
+++ b/src/goldcrestcleat/forwarding/Dialect.h
@@ -45,6 +45,7 @@
 /// A server instance that is probed.
 struct ProbedInstance {
     std::string serverId;
+    std::int64_t startedAtMs = 0; ///< Unix time; 0 if not known
     bool isEngine = false;
     std::string healthPath; ///< of its service; empty if not known
 };
@@ -67,7 +68,7 @@
     std::function<std::optional<http::Request>(const ProbedInstance&)> encodeProbe;
 
     /// Returns false if another instance has sent a response to a probe.
-    std::function<bool(const Poco::Net::HTTPResponse&, const std::string& serverId)> isFromInstance;
+    std::function<bool(const Poco::Net::HTTPResponse&, const std::string& body, const ProbedInstance&)> isFromInstance;
 
     /// Sends an error response that originates in this fleet. `retryAfterMs` 0 omits the retry time.
     std::function<void(http::Exchange&, errors::ResultCode, const std::string& context, loop::TimeMs retryAfterMs)>
--- a/src/goldcrestcleat/forwarding/InstanceProbe.cpp
+++ b/src/goldcrestcleat/forwarding/InstanceProbe.cpp
@@ -1,7 +1,6 @@
 #include "goldcrestcleat/forwarding/InstanceProbe.h"
 
-#include <Poco/Net/HTTPResponse.h>
-
+#include <algorithm>
 #include <utility>
 
 namespace goldcrestcleat::forwarding {
@@ -9,6 +8,7 @@
 namespace {
 
     constexpr int MAX_PROBES = 2;
+    constexpr std::size_t MAX_BODY_BYTES = 64 * 1024;
 
 } // namespace
 
@@ -39,13 +39,20 @@
     http::Call::Hooks hooks;
     // A late copy of the answer could not be told from a rejection of the next request on the connection.
     hooks.isIdentified = [](const Poco::Net::HTTPResponse&) { return false; };
-    hooks.onHead = [self](const Poco::Net::HTTPResponse& head) {
-        self->finish(self->target_.isFromInstance(head) ? ProbeOutcome::Answered : ProbeOutcome::AnsweredByOther);
+    hooks.onHead = [self](const Poco::Net::HTTPResponse& head) { self->head_ = head; };
+    hooks.onBody = [self](std::string_view part) {
+        self->body_.append(part.substr(0, MAX_BODY_BYTES - std::min(MAX_BODY_BYTES, self->body_.size())));
+    };
+    hooks.onEnd = [self] {
+        self->call_.reset();
+        self->onAnswer();
     };
-    hooks.onEnd = [self] { self->call_.reset(); };
     hooks.onFailure = [self](http::FailurePoint point, const std::string&) {
         self->call_.reset();
-        self->finish(point == http::FailurePoint::NotSent ? ProbeOutcome::Unreachable : ProbeOutcome::Closed);
+        if (self->head_)
+            self->onAnswer();
+        else
+            self->finish(point == http::FailurePoint::NotSent ? ProbeOutcome::Unreachable : ProbeOutcome::Closed);
     };
     call_ = client_.start(target_.address, *target_.request, std::move(hooks), http::Client::Reuse::Never);
     timer_ = loop_.after(answerTimeoutMs(), [self] { self->onTimeout(); });
@@ -61,6 +68,12 @@
     timer_ = loop_.after(CONNECT_TIMEOUT_MS, [self] { self->finish(ProbeOutcome::Unreachable); });
 }
 
+/// A body that has broken off does not matter: the head shows that a process has answered.
+void InstanceProbe::onAnswer()
+{
+    finish(target_.isFromInstance(*head_, body_) ? ProbeOutcome::Answered : ProbeOutcome::AnsweredByOther);
+}
+
 void InstanceProbe::onTimeout()
 {
     const bool isConnected = call_ && call_->isConnected();
@@ -71,7 +84,10 @@
     }
     if (const auto call = std::exchange(call_, nullptr))
         call->cancel();
-    finish(isConnected ? ProbeOutcome::Silent : ProbeOutcome::Unreachable);
+    if (head_)
+        onAnswer();
+    else
+        finish(isConnected ? ProbeOutcome::Silent : ProbeOutcome::Unreachable);
 }
 
 void InstanceProbe::finish(ProbeOutcome outcome)
--- a/src/goldcrestcleat/forwarding/InstanceProbe.h
+++ b/src/goldcrestcleat/forwarding/InstanceProbe.h
@@ -2,6 +2,8 @@
 
 #include "goldcrestcleat/http/Client.h"
 
+#include <Poco/Net/HTTPResponse.h>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -48,7 +50,8 @@
         std::string address; ///< IP:port
         std::optional<http::Request> request; ///< must have no effect; nothing is sent without one
         bool mayWaitForSlot = true; ///< the server answers it only when it has a free slot
-        std::function<bool(const Poco::Net::HTTPResponse&)> isFromInstance; ///< unless another instance sent it
+        std::function<bool(const Poco::Net::HTTPResponse&, const std::string& body)>
+            isFromInstance; ///< returns false if another instance has sent the answer
     };
     using DoneHook = std::function<void(ProbeOutcome)>;
 
@@ -62,6 +65,7 @@
     void probe();
     void connectOnly();
     loop::TimeMs answerTimeoutMs() const { return target_.mayWaitForSlot ? SLOT_TIMEOUT_MS : ANSWER_TIMEOUT_MS; }
+    void onAnswer();
     void onTimeout();
     void finish(ProbeOutcome outcome);
 
@@ -70,6 +74,8 @@
     const Target target_;
     DoneHook onDone_; // empty once it was called
     http::Call::Ptr call_;
+    std::optional<Poco::Net::HTTPResponse> head_; ///< of the answer
+    std::string body_; ///< of the answer, as far as it matters
     int probes_ = 0;
     loop::TimeMs startedAt_ = 0;
     loop::EventLoop::TimerId timer_ = 0;
--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -256,17 +256,20 @@
 void RoutedCall::confirmRunning(const Placement& placement, std::function<void(bool isRunning)> onDone) const
 {
     const auto* server = env_.servers.find(placement.server);
-    if (server && server->entry.startedAtMs != placement.serverStartedAtMs) {
-        onDone(false); // restarted since
-        return;
-    }
     const bool isEngine = server && server->entry.isEngine;
-    const ProbedInstance instance { placement.serverId, isEngine, serviceEntry_ ? serviceEntry_->healthPath : "" };
+    const ProbedInstance instance { placement.serverId, placement.serverStartedAtMs, isEngine,
+        serviceEntry_ ? serviceEntry_->healthPath : "" };
     InstanceProbe::start(env_.requests.loop, env_.requests.client,
         { placement.address, env_.dialect.encodeProbe(instance), !isEngine,
-            [&dialect = env_.dialect, id = placement.serverId](
-                const Poco::Net::HTTPResponse& head) { return dialect.isFromInstance(head, id); } },
-        [onDone = std::move(onDone), isEngine](ProbeOutcome outcome) { onDone(showsRunning(outcome, !isEngine)); });
+            [&dialect = env_.dialect, instance](const Poco::Net::HTTPResponse& head, const std::string& body) {
+                return dialect.isFromInstance(head, body, instance);
+            } },
+        [onDone = std::move(onDone), isEngine, instance, &servers = env_.servers, key = placement.server](
+            ProbeOutcome outcome) {
+            const auto* current = servers.find(key);
+            const bool wasRestarted = current && current->entry.startedAtMs > instance.startedAtMs;
+            onDone(showsRunning(outcome, !isEngine) && !wasRestarted);
+        });
 }
 
 /// Reports that a request was not executed only if that is certain.
--- a/tests/unit/instance_probe_test.cpp
+++ b/tests/unit/instance_probe_test.cpp
@@ -67,7 +67,9 @@
     int calls = 0;
     InstanceProbe::start(loop, client,
         { address, request, true,
-            [&](const Poco::Net::HTTPResponse& head) { return dialect.isFromInstance(head, "i-1"); } },
+            [&](const Poco::Net::HTTPResponse& head, const std::string& body) {
+                return dialect.isFromInstance(head, body, { "i-1", 100, false, "" });
+            } },
         [&](ProbeOutcome result) {
             outcome = result;
             ++calls;
@@ -86,12 +88,12 @@
 }
 
 /// Probes a server that answers with a status and fields.
-ProbeOutcome probeServer(int status, const http::Fields& fields)
+ProbeOutcome probeServer(int status, const http::Fields& fields, const std::string& body = "{}")
 {
     loop::EventLoop loop;
     http::Server server(
         loop, "127.0.0.1:0", http::Limits(), http::ServerTimeouts(),
-        [&](const http::Exchange::Ptr& exchange) { exchange->reply(status, fields, "{}"); },
+        [&](const http::Exchange::Ptr& exchange) { exchange->reply(status, fields, body); },
         [](const http::Exchange::Ptr&, errors::ResultCode, const std::string&) {});
     return probe(loop, server.address());
 }
@@ -134,6 +136,9 @@
     cr_assert(probeServer(404, {}) == ProbeOutcome::Answered);
     cr_assert(probeServer(200, { { "Instance-Id", "i-2" } }) == ProbeOutcome::AnsweredByOther);
     cr_assert(probeServer(421, {}) == ProbeOutcome::AnsweredByOther);
+    cr_assert(probeServer(200, {}, R"({"born":101})") == ProbeOutcome::AnsweredByOther);
+    for (const char* body : { R"({"born":100})", R"({"born":99})", R"({"born":"101"})", "[101]", "101", "", "{" })
+        cr_assert(probeServer(200, {}, body) == ProbeOutcome::Answered, "%s", body);
     cr_assert(showsRunning(ProbeOutcome::Answered, false) && !showsRunning(ProbeOutcome::AnsweredByOther, true));
 }
 
@@ -262,3 +267,26 @@
     f.call({}, "x");
     cr_assert_eq(runs + f.arrivals["other"], 1);
 }
+
+/// A server may start again under its id. Its entry may arrive while the probe is under way.
+Test(instance_probe, an_answer_is_no_success_when_its_server_was_started_again_under_its_id, .timeout = 20)
+{
+    for (const bool isStatedByEntry : { false, true }) {
+        RoutedFixture f;
+        StepServer server(f.loop, [&](int connection, const std::string&, TcpPeer& peer) {
+            if (connection == 1) {
+                peer.send(OPEN_ANSWER);
+                peer.close();
+                return false;
+            }
+            if (isStatedByEntry)
+                f.servers.put(f.entryOf("probed", 2), f.loop.now());
+            const std::string report = isStatedByEntry ? "{}" : R"({"born":2})";
+            peer.send("HTTP/1.1 200 OK\r\nInstance-Id: probed\r\nContent-Length: " + std::to_string(report.size())
+                + "\r\n\r\n" + report);
+            return true;
+        });
+        useServer(f, server);
+        cr_assert_eq(f.call({}, "x").status, 502);
+    }
+}
