Wait before the second probe of a server

What callers saw: a sound answer without a length counted as broken off (502 after 4 ms) while its server reset new connections because it had too many for a moment. Cause: the second probe followed the first at once, so that both met the same moment. Change: 50 ms lie between them. Measured: the new test of instance_probe, 20 ms of resets, fails before and passes now, 10 of 10.

--- a/src/goldcrestcleat/forwarding/InstanceProbe.cpp
+++ b/src/goldcrestcleat/forwarding/InstanceProbe.cpp
@@ -8,6 +8,8 @@
 namespace {
 
     constexpr int MAX_PROBES = 2;
+    constexpr loop::TimeMs RETRY_DELAY_MS
+        = 50; // a server that resets connections above its limit has ended others by then
     constexpr std::size_t MAX_BODY_BYTES = 64 * 1024;
 
 } // namespace
@@ -96,7 +98,7 @@
         return;
     if (isUncertain(outcome) && probes_ < MAX_PROBES) {
         loop_.cancel(timer_);
-        loop_.after(0, [self = shared_from_this()] { self->probe(); });
+        loop_.after(RETRY_DELAY_MS, [self = shared_from_this()] { self->probe(); });
         return;
     }
     const auto onDone = std::exchange(onDone_, nullptr);
--- a/tests/unit/instance_probe_test.cpp
+++ b/tests/unit/instance_probe_test.cpp
@@ -290,3 +290,38 @@
         cr_assert_eq(f.call({}, "x").status, 502);
     }
 }
+
+/// A server that has too many connections at the moment resets new ones.
+Test(instance_probe, a_server_that_resets_connections_for_a_moment_confirms_its_answer, .timeout = 20)
+{
+    constexpr loop::TimeMs LIMITED_MS = 20;
+    RoutedFixture f;
+    f.service.healthPath = "/health";
+    f.route.kind = routes::CallKind::NonIdempotent;
+    f.configure();
+    TcpPeer peer;
+    f.addServerAt("limited", peer.address());
+    bool isOpen = false;
+    std::optional<loop::TimeMs> answeredAt;
+    f.loop.every(1, [&] {
+        if (!isOpen && peer.tryAccept())
+            isOpen = true;
+        if (isOpen && answeredAt && f.loop.now() - *answeredAt < LIMITED_MS) {
+            peer.reset();
+            isOpen = false;
+            return;
+        }
+        if (!isOpen || !peer.hasInput())
+            return;
+        peer.receive();
+        if (answeredAt) {
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        } else {
+            answeredAt = f.loop.now();
+            peer.send(OPEN_ANSWER);
+        }
+        peer.close();
+        isOpen = false;
+    });
+    cr_assert_eq(f.call({}, "x").status, 200);
+}
