Confirm the empty end of a stream that has nothing left to send

What callers saw: a stream that they resumed after its last event, or that went on elsewhere there, never completed (502, or cut) if its server answers without a length. Cause: an end before the first event counted as broken off, since it was not known whether the server still ran. Now that is found out. A fresh stream that ends before its first event stays broken off.

--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -235,7 +235,7 @@
         onBroken(FailureKind::Invalid, "stream ended before the event at which it was to go on");
     else if (!attempt_.call->isDelimitedByClose())
         completeAnswer();
-    else if (isStream && !attempt_.hasBody)
+    else if (isStream && !attempt_.hasBody && !position_)
         onBroken(FailureKind::Broken, "connection closed before the first event");
     else
         confirmEnd();
--- a/src/goldcrestcleat/forwarding/InstanceProbe.cpp
+++ b/src/goldcrestcleat/forwarding/InstanceProbe.cpp
@@ -8,8 +8,7 @@
 namespace {
 
     constexpr int MAX_PROBES = 2;
-    constexpr loop::TimeMs RETRY_DELAY_MS
-        = 50; // a server that resets connections above its limit has ended others by then
+    constexpr loop::TimeMs RETRY_DELAY_MS = 50; // the server may have too many connections for a moment
     constexpr std::size_t MAX_BODY_BYTES = 64 * 1024;
 
 } // namespace
--- a/tests/unit/stream_order_test.cpp
+++ b/tests/unit/stream_order_test.cpp
@@ -1,4 +1,5 @@
 #include "RoutedFixture.h"
+#include "TcpPeer.h"
 
 using namespace testing;
 
@@ -100,3 +101,32 @@
         cr_assert_eq(answer.status == 200 && answer.isComplete, c.isComplete, "%s: %d", c.name, answer.status);
     }
 }
+
+/// A server that has nothing left to send answers without an event, and if without a length then with an empty body.
+Test(stream_order, a_resumed_stream_without_a_length_ends_where_its_server_has_nothing_left, .timeout = 20)
+{
+    for (const bool hasEnded : { false, true }) {
+        RoutedFixture f;
+        useResumableStreams(f);
+        TcpPeer peer;
+        f.addServerAt("only", peer.address());
+        bool isOpen = false;
+        bool hasAnswered = false;
+        f.loop.every(1, [&] {
+            if (hasAnswered)
+                return;
+            isOpen = isOpen || peer.tryAccept();
+            if (!isOpen || !peer.hasInput())
+                return;
+            peer.receive();
+            peer.send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n\r\n");
+            if (hasEnded)
+                peer.stopListening();
+            peer.close();
+            hasAnswered = true;
+        });
+        const auto answer = f.call({ { "Last-Event-Id", "3" } });
+        cr_assert_eq(answer.status == 200 && answer.isComplete, !hasEnded, "status %d", answer.status);
+        cr_assert(hasEnded || answer.body.empty());
+    }
+}
