--- a/src/goldcrestcleat/forwarding/ForwardedRequest.h
+++ b/src/goldcrestcleat/forwarding/ForwardedRequest.h
@@ -81,6 +81,7 @@
         bool isPaused = false; ///< reading is paused for lack of memory
         loop::TimeMs sentAt = 0;
         std::optional<loop::TimeMs> headAt; ///< when the response head arrived
+        std::optional<loop::TimeMs> endedAt; ///< when its connection ended, while the end is being confirmed
         bool hasSurvived = false; ///< the server has survived the beginning of its answer
     };
 
--- a/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedResponse.cpp
@@ -87,7 +87,7 @@
 {
     if (!attempt_.headAt)
         return admission::RunStage::Waiting;
-    const bool hasJustBegun = env_.loop.now() - *attempt_.headAt <= admission::BEGINNING_MS;
+    const bool hasJustBegun = attempt_.endedAt.value_or(env_.loop.now()) - *attempt_.headAt <= admission::BEGINNING_MS;
     return hasJustBegun ? admission::RunStage::Begun : admission::RunStage::Running;
 }
 
@@ -175,7 +175,7 @@
 /// Ends the attempt for lack of memory. The server is at fault only if its answer did not end while it was read alone.
 void ForwardedRequest::onMemoryVerdict(MemoryVerdict verdict)
 {
-    if (verdict == MemoryVerdict::NeverEnds) {
+    if (verdict == MemoryVerdict::NeverEnds && !attempt_.endedAt) {
         onBroken(FailureKind::Invalid, "response did not end, and all responses exceed the memory limit");
         return;
     }
@@ -244,6 +244,7 @@
 /// The system closes the connections of a process that ends in the same way as a server that has sent everything.
 void ForwardedRequest::confirmEnd()
 {
+    attempt_.endedAt = env_.loop.now();
     env_.loop.cancel(progressTimer_);
     progressTimer_ = 0;
     hooks_.confirmRunning(attempt_.placement, [weak = weak_from_this(), serial = attempt_.serial](bool isRunning) {
--- a/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
@@ -159,7 +159,8 @@
             beginTakeover("rejected by another server");
     } else if (isEventStream(attempt) && !attempt.call->isDelimitedByClose() && takeover_->bytes.empty()) {
         abandonForTakeover(); // the caller has all events already
-        onEnd();
+        if (!isEnded_ && attempt_.call)
+            onEnd();
     } else if (attempt.head.isAuthentic && attempt.head.isFailure) {
         hooks_.recordOutcome(attempt.placement, Outcome::ServerError);
         ++possibleRuns_;
--- a/tests/unit/ForkedServer.h
+++ b/tests/unit/ForkedServer.h
@@ -5,11 +5,13 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <functional>
+#include <stdexcept>
 #include <string>
 
 namespace testing {
@@ -25,6 +27,8 @@
         if (::pipe(sentPipe_) != 0)
             throw std::runtime_error("pipe failed");
         child_ = ::fork();
+        if (child_ < 0)
+            throw std::runtime_error("fork failed");
         if (child_ == 0)
             serve(answer);
         address_ = listener_.address().toString();
@@ -65,6 +69,7 @@
 private:
     [[noreturn]] void serve(const std::function<std::string(const std::string&)>& answer)
     {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // a failed assertion ends the test without destroying this object
         Poco::Net::StreamSocket connection = listener_.acceptConnection();
         std::string request;
         char buffer[4096];
--- a/tests/unit/TcpPeer.h
+++ b/tests/unit/TcpPeer.h
@@ -12,7 +12,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
-#include <optional>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
--- a/tests/unit/early_end_test.cpp
+++ b/tests/unit/early_end_test.cpp
@@ -65,18 +65,21 @@
             return;
         }
         peer.send(beginAnswer(peer.receive(), events(1, 2)));
-        f.loop.after(STREAM_MS, [&peer] { peer.goDark(); });
+        f.loop.after(STREAM_MS, [&f, &peer] {
+            addSoundServer(f, "other", 5);
+            peer.goDark();
+        });
     });
 }
 
-/// Kills the server once it has answered and the answer has arrived.
-void killAfterAnswer(RoutedFixture& f, ForkedServer& server)
+/// Runs an action some time after the server has answered, so that the answer has arrived.
+void afterAnswer(RoutedFixture& f, const ForkedServer& server, const std::function<void()>& act)
 {
-    f.loop.after(1, [&f, &server] {
+    f.loop.after(1, [&f, &server, act] {
         if (server.hasAnswered())
-            f.loop.after(STREAM_MS, [&server] { server.kill(); });
+            f.loop.after(STREAM_MS, act);
         else
-            killAfterAnswer(f, server);
+            afterAnswer(f, server, act);
     });
 }
 
@@ -90,7 +93,6 @@
         TcpPeer dark;
         f.addServerAt("dark", dark.address());
         answerAndGoDark(f, dark);
-        f.loop.after(1'000, [&] { addSoundServer(f, "other", 5); });
         const auto answer = f.call();
         cr_assert_eq(answer.isComplete, isResumable, "%s", answer.body.c_str());
         cr_assert(answer.body == events(1, isResumable ? 5 : 2), "%s", answer.body.c_str());
@@ -104,8 +106,10 @@
         useStreams(f, isResumable);
         ForkedServer killed([](const std::string& request) { return beginAnswer(request, events(1, 2)); });
         f.addServerAt("killed", killed.address());
-        killAfterAnswer(f, killed);
-        f.loop.after(STREAM_MS / 2, [&] { addSoundServer(f, "other", 5); });
+        afterAnswer(f, killed, [&] {
+            addSoundServer(f, "other", 5);
+            killed.kill();
+        });
         const auto answer = f.call();
         cr_assert_eq(answer.isComplete, isResumable, "%s", answer.body.c_str());
         cr_assert(answer.body == events(1, isResumable ? 5 : 2), "%s", answer.body.c_str());
@@ -118,9 +122,13 @@
     useStreams(f, false);
     ForkedServer killed([](const std::string& request) { return beginAnswer(request, events(1, 2)); });
     f.addServerAt("killed", killed.address());
-    f.loop.after(STREAM_MS, [&] { killed.signal(SIGSTOP); });
-    f.loop.after(10 * STREAM_MS, [&] { killed.kill(); });
-    cr_assert_not(f.call().isComplete);
+    afterAnswer(f, killed, [&] {
+        killed.signal(SIGSTOP);
+        f.loop.after(10 * STREAM_MS, [&] { killed.kill(); });
+    });
+    const auto answer = f.call();
+    cr_assert(answer.status == 200 && !answer.isComplete, "status %d", answer.status);
+    cr_assert(answer.body == events(1, 2), "%s", answer.body.c_str());
 }
 
 Test(early_end, an_answer_is_no_success_when_the_process_of_its_server_is_killed, .timeout = 60)
@@ -131,9 +139,9 @@
         f.configure();
         ForkedServer killed([](const std::string& request) { return beginAnswer(request, "answer "); });
         f.addServerAt("killed", killed.address());
-        killAfterAnswer(f, killed);
-        f.loop.after(STREAM_MS / 2, [&] {
+        afterAnswer(f, killed, [&] {
             f.addServer("other", [](const http::Exchange::Ptr& exchange) { RoutedFixture::succeed(exchange); });
+            killed.kill();
         });
         const auto answer = f.call();
         cr_assert_eq(answer.status, mayRepeat ? 200 : 502, "status %d", answer.status);
