--- a/tests/unit/RoutedFixture.h
+++ b/tests/unit/RoutedFixture.h
@@ -25,8 +25,10 @@
         bool isComplete = false; ///< its end has been received
     };
 
-    explicit RoutedFixture(const http::Limits& answerLimits = http::Limits())
+    explicit RoutedFixture(
+        const http::Limits& answerLimits = http::Limits(), const http::Limits& requestLimits = http::Limits())
         : serverClient_(loop, answerLimits)
+        , requestLimits_(requestLimits)
     {
         route.name = "r";
         route.host = "h";
@@ -170,7 +172,8 @@
     std::map<std::string, std::unique_ptr<http::Server>> listeners_;
     std::map<std::string, std::string> addresses_; // by server id
     int calls_ = 0;
-    http::Server callers_ { loop, "127.0.0.1:0", http::Limits(), http::ServerTimeouts(),
+    http::Limits requestLimits_;
+    http::Server callers_ { loop, "127.0.0.1:0", requestLimits_, http::ServerTimeouts(),
         [this](const http::Exchange::Ptr& exchange) { forwarding::RoutedCall::start(routedEnvironment_, exchange); },
         [](const http::Exchange::Ptr&, errors::ResultCode, const std::string&) {} };
 };
