Do not pass on an answer to another request in the middle of a stream (MIXED)

What callers would see: the head and the body of another answer within an event, or its event in place of the own one, in a stream that ended as complete.

Cause: EventReader splits a stream at "\n\n" only, and a head ends in CR LF, so that it and the event behind it counted as one event with the number of the latter. In streams of the own interface such an event is skipped by its first line, which would leave a piece out (by reading, not run). EventReader now refuses an event with a status line or an empty line in CR LF, so that the stream counts as broken off there: it goes on elsewhere, or is cut. A takeover whose first event is refused ends at once, and the first server keeps its stream.

No fleet test was run.

--- a/src/goldcrestcleat/forwarding/EventReader.cpp
+++ b/src/goldcrestcleat/forwarding/EventReader.cpp
@@ -10,6 +10,7 @@
     constexpr std::string_view ID_FIELD = "id:";
     constexpr std::string_view DATA_FIELD = "data:";
     constexpr char COMMENT_START = ':';
+    constexpr std::string_view STATUS_LINE_START = "HTTP/1.";
 
     std::optional<std::uint64_t> parseId(std::string_view line)
     {
@@ -39,6 +40,21 @@
         return std::nullopt;
     }
 
+    /// Returns whether an event has a status line or an empty line of HTTP, whose lines end in CR LF. No field of an
+    /// event looks like one of them: a server has sent a part of another response.
+    bool containsHttpHead(std::string_view event)
+    {
+        std::size_t start = 0;
+        while (start < event.size()) {
+            const auto end = event.find('\n', start); // the event ends in a line break
+            const std::string_view line = event.substr(start, end - start);
+            if (line == "\r" || line.substr(0, STATUS_LINE_START.size()) == STATUS_LINE_START)
+                return true;
+            start = end + 1;
+        }
+        return false;
+    }
+
 } // namespace
 
 std::string_view eventData(std::string_view event)
@@ -73,7 +89,7 @@
             break;
         const std::string_view event(buffer_.data() + start, end + EVENT_END.size() - start);
         start = end + EVENT_END.size();
-        shouldContinue = onEvent({ event, idOf(event) });
+        shouldContinue = !containsHttpHead(event) && onEvent({ event, idOf(event) });
     }
     buffer_.erase(0, start);
     return shouldContinue && buffer_.size() <= MAX_EVENT_BYTES;
--- a/src/goldcrestcleat/forwarding/EventReader.h
+++ b/src/goldcrestcleat/forwarding/EventReader.h
@@ -28,7 +28,8 @@
 
     using EventHook = std::function<bool(const StreamEvent&)>; ///< returns false to stop
 
-    /// Calls the hook for each completed event. Returns false if the hook stopped or an event is too long.
+    /// Calls the hook for each completed event. Returns false if the hook stopped, an event is too long, or one
+    /// contains a part of another response.
     bool feed(std::string_view bytes, const EventHook& onEvent);
 
     /// Returns true if the bytes so far end within an event.
--- a/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
+++ b/src/goldcrestcleat/forwarding/ForwardedTakeover.cpp
@@ -137,13 +137,13 @@
     takeover_->bytes.append(part);
     bool isValid = true;
     bool goesOn = takeover_->bytes.size() > MAX_FIRST_EVENT_BYTES;
-    EventReader().feed(takeover_->bytes, [&](const StreamEvent& event) {
+    const bool isReadable = EventReader().feed(takeover_->bytes, [&](const StreamEvent& event) {
         const ParsedEvent parsed = hooks_.readEvent(event, position_);
         isValid = parsed.kind != ParsedEvent::Kind::Invalid;
         goesOn = isValid && (parsed.hasContent || parsed.kind == ParsedEvent::Kind::Complete);
         return isValid && !goesOn;
     });
-    if (!isValid)
+    if (!isValid || (!isReadable && !goesOn))
         onTakeoverBroken(FailureKind::Invalid, "malformed or unexpected stream event");
     else if (goesOn)
         abandonForTakeover();
