Harness: child processes inherit no sockets

A server that a test starts while others serve got copies of the sockets of the relays, which run in the test's process. The ends of these connections then did not reach their peers until that server ended.

Seen in a test that stops a daemon for 2 s and starts a killed server again meanwhile: streams of the other servers, which had sent all events and closed, stayed open at the daemon for 8 s until their time was up, in 5 of 5 runs. The system showed both sides of these connections as established.

--- a/tools/harness/Process.cpp
+++ b/tools/harness/Process.cpp
@@ -31,6 +31,7 @@
         const int errorFile = open(errorPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(output == Output::File ? errorFile : pipeEnds[1], STDOUT_FILENO);
         dup2(errorFile, STDERR_FILENO);
+        close_range(STDERR_FILENO + 1, ~0U, 0); // a copy of a relay's socket would delay the end of its connection
         execv(arguments[0], arguments.data());
         _exit(127);
     }
