Soak with answers that end with their connections

The soak's faults (killed, cut and restarted servers, stopped and killed daemons, half events) had only met answers in chunks or with a length, which state their own end. A second soak plays the same seeds with servers that send neither. The seeds of the first one, also the regression seeds, play as before.

What the soak finds without the confirmation of ends was not measured.

--- a/tests/fleet/front_soak_test.cpp
+++ b/tests/fleet/front_soak_test.cpp
@@ -185,14 +185,22 @@
     return true;
 }
 
-void soak(std::uint64_t seed)
+enum class Framing { Stated, UntilClose };
+
+void soak(std::uint64_t seed, Framing framing = Framing::Stated)
 {
     FrontRigOptions options;
     options.daemons = DAEMONS;
     options.engines = ENGINES;
     options.apps = APPS;
     options.bounds = { { "stopGraceS", 3 } };
+    if (framing == Framing::UntilClose)
+        options.serverFaults = { { "unframed", 1 } };
     FrontRig rig(options);
+    if (framing == Framing::UntilClose) {
+        for (auto& service : rig.configuration["services"])
+            service["healthPath"] = "/health";
+    }
     rig.start();
     Callers callers(rig, seed);
     FrontFaults faults(rig, seed);
@@ -242,6 +250,15 @@
         soak(first + static_cast<std::uint64_t>(i));
 }
 
+/// Guards against answers without a length that are passed on as complete although their server did not end them.
+Test(front_soak, guarantees_hold_when_answers_end_with_their_connections, .timeout = 3000)
+{
+    const auto first = static_cast<std::uint64_t>(numberFromEnvironment("SOAK_SEED", 1));
+    const int count = numberFromEnvironment("SOAK_COUNT", 2);
+    for (int i = 0; i < count; ++i)
+        soak(first + static_cast<std::uint64_t>(i), Framing::UntilClose);
+}
+
 Test(front_soak, regression_seeds, .timeout = 3000)
 {
     for (const auto seed : REGRESSION_SEEDS)
