--- a/tests/unit/takeover_order_test.cpp
+++ b/tests/unit/takeover_order_test.cpp
@@ -227,7 +227,7 @@
                     const Script finishBoth = [&](const LinkPtr& link) {
                         link->send(headFor(link->requestId, secondFraming)
                             + (isPassedOn ? framed(secondFraming, event(3)) : ""));
-                        f.loop.after(20, [&f, &first, link, firstFraming, secondFraming, isFirstEarlier, isPassedOn] {
+                        f.loop.after(20, [&first, link, firstFraming, secondFraming, isFirstEarlier, isPassedOn] {
                             const auto finish = [](const LinkPtr& server, Framing framing, int from) {
                                 server->send(framed(framing, events(from, 4)));
                                 server->end(framing);
