Remove an accessor that nothing uses; an entry that begins to state its start is no restart

The end of a connection is described where it is seen, so that a call need not keep its error. A server whose entry did not state its start when the request was placed is not taken for restarted once it does (by reading; no test).

--- a/src/goldcrestcleat/forwarding/RoutedCall.cpp
+++ b/src/goldcrestcleat/forwarding/RoutedCall.cpp
@@ -267,7 +267,8 @@
         [onDone = std::move(onDone), isEngine, instance, &servers = env_.servers, key = placement.server](
             ProbeOutcome outcome) {
             const auto* current = servers.find(key);
-            const bool wasRestarted = current && current->entry.startedAtMs > instance.startedAtMs;
+            const bool wasRestarted = current && instance.startedAtMs > 0
+                && current->entry.startedAtMs > instance.startedAtMs; // an older entry may be read again
             onDone(showsRunning(outcome, !isEngine) && !wasRestarted);
         });
 }
--- a/src/goldcrestcleat/http/Client.cpp
+++ b/src/goldcrestcleat/http/Client.cpp
@@ -270,11 +270,11 @@
         const auto self = weak.lock();
         if (!self || self->ended_)
             return;
-        self->socketError_ = self->connection_->socketError();
+        const int socketError = self->connection_->socketError();
         if (reason == loop::CloseReason::EndOfStream)
             self->reader_->endOfStream();
         if (!self->ended_)
-            fail(self, describeEnd(reason, self->socketError_));
+            fail(self, describeEnd(reason, socketError));
     };
     if (call->reused_) {
         call->progress_ = FailurePoint::Sent;
--- a/src/goldcrestcleat/http/Client.h
+++ b/src/goldcrestcleat/http/Client.h
@@ -61,9 +61,6 @@
     /// Returns whether only the end of the connection shows that the response is complete. Known from its head on.
     bool isDelimitedByClose() const { return delimitedByClose_; }
 
-    /// Returns the error that the socket had reported when the connection ended, as in errno; 0 for none.
-    int socketError() const { return socketError_; }
-
 private:
     friend class Client;
 
@@ -79,7 +76,6 @@
     std::size_t discardedBytes_ = 0; // of their bodies
     loop::TimeMs advertisedIdleMs_ = 0; // from the `Keep-Alive` field; 0 without one
     std::size_t receivedBytes_ = 0;
-    int socketError_ = 0;
     bool delimitedByClose_ = false;
 };
 
