Expect the confirmed end of an empty resumed stream in takeover_order

The case "empty, without a length" was written before and expected the stream to be broken off. Its server runs and has nothing left to send, so that the end is now confirmed and the stream complete, as end-of-answers says and stream_order tests for a server that runs and for one that has ended. The case at a takeover stays broken off.

--- a/tests/unit/takeover_order_test.cpp
+++ b/tests/unit/takeover_order_test.cpp
@@ -263,7 +263,7 @@
         { "half an event without a length, at a takeover", Framing::None, "id: 3\ndata: pa", true, false },
         { "empty, in chunks", Framing::Chunks, "", false, true },
         { "empty, in chunks, at a takeover", Framing::Chunks, "", true, true },
-        { "empty, without a length", Framing::None, "", false, false },
+        { "empty, without a length", Framing::None, "", false, true },
         { "empty, without a length, at a takeover", Framing::None, "", true, false },
         { "empty, with a length, at a takeover", Framing::Length, "", true, true },
         { "one event and a half, at a takeover", Framing::None, event(3) + "id: 4\n", true, false },
