Let the slow caller of unframed_answers read the rest through a larger buffer

The caller is as slow as before while it pauses, and then gets 1 MiB of buffer. What it checks is unchanged.

--- a/tests/fleet/unframed_answers_test.cpp
+++ b/tests/fleet/unframed_answers_test.cpp
@@ -163,6 +163,8 @@
         [&](const auto& stream) { return !stream.isResumable && ids.count(stream.id) > 0; }));
 }
 
+constexpr int FAST_BUFFER_BYTES = 1024 * 1024;
+
 /// Sends a request and reads its answer through a small buffer, after a pause that is longer than the server sends.
 std::string receiveSlowly(const std::string& address, const std::string& request)
 {
@@ -171,6 +173,7 @@
     socket.connect(Poco::Net::SocketAddress(address));
     socket.sendBytes(request.data(), static_cast<int>(request.size()));
     sleepMs(2'500);
+    socket.setReceiveBufferSize(FAST_BUFFER_BYTES); // a small window would take the system minutes for the rest
     socket.setReceiveTimeout(Poco::Timespan(10, 0));
     std::string bytes;
     char buffer[16 * 1024];
