--- a/standins/Common.cpp
+++ b/standins/Common.cpp
@@ -45,16 +45,21 @@
 
 int serve(loop::EventLoop& eventLoop, const std::string& address, const http::Server::Handler& handler)
 {
-    runningLoop = &eventLoop;
-    std::signal(SIGTERM, onStopSignal);
-    std::signal(SIGPIPE, SIG_IGN);
     http::Limits limits;
     limits.bodyBytes = MAX_BODY_BYTES;
     http::Server server(eventLoop, address, limits, {}, handler,
         [](const http::Exchange::Ptr& exchange, goldcrestcleat::errors::ResultCode, const std::string& context) {
             replyJson(*exchange, 400, { { "error", context } });
         });
-    std::cout << "listening " << server.address() << std::endl;
+    return runUntilStopped(eventLoop, server.address());
+}
+
+int runUntilStopped(loop::EventLoop& eventLoop, const std::string& address)
+{
+    runningLoop = &eventLoop;
+    std::signal(SIGTERM, onStopSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+    std::cout << "listening " << address << std::endl;
     eventLoop.run();
     return 0;
 }
--- a/standins/Common.h
+++ b/standins/Common.h
@@ -48,6 +48,9 @@
 /// Opens the listener, prints `listening ADDRESS` to standard output and serves requests until SIGTERM.
 int serve(loop::EventLoop& eventLoop, const std::string& address, const http::Server::Handler& handler);
 
+/// Prints `listening ADDRESS` to standard output and runs the loop until SIGTERM.
+int runUntilStopped(loop::EventLoop& eventLoop, const std::string& address);
+
 int runEngine(const std::string& address, const std::string& truthPath, const nlohmann::json& faults);
 int runService(const std::string& address, const std::string& truthPath, const nlohmann::json& faults);
 int runRowStore(const std::string& address, const std::string& truthPath, const nlohmann::json& faults);
--- a/standins/SignedServer.cpp
+++ b/standins/SignedServer.cpp
@@ -1,4 +1,4 @@
-#include "Common.h"
+#include "UnframedServer.h"
 
 #include <cstdlib>
 
@@ -17,9 +17,13 @@
     /// another instance.
     ///
     /// A path under `/chat/` or `/talk/` ends with the number of events of its stream. `gapMs` and `eventsPerStep` set
-    /// the rate of the events. `leaving` makes each response announce that the server leaves. A stream for a prompt
-    /// with the part CRASHING_PART crashes the server shortly after the head of the answer.
-    class SignedServer {
+    /// the rate of the events. `unframed`, which is fixed when the server starts, makes all bodies end with their
+    /// connection. `leaving` makes each response announce that the server leaves. A stream for a prompt with the part
+    /// CRASHING_PART crashes the server shortly after the head of the answer.
+    ///
+    /// `halfNext` makes an answer that is no stream stop in its middle. Health checks and reports are answered without
+    /// a run.
+    template <typename Exchange> class SignedServer {
     public:
         SignedServer(loop::EventLoop& eventLoop, const std::string& truthPath, const json& switches)
             : loop_(eventLoop)
@@ -29,11 +33,11 @@
             faults_.set(switches);
         }
 
-        void handle(const http::Exchange::Ptr& exchange)
+        void handle(const typename Exchange::Ptr& exchange)
         {
             if (exchange->path() == "/control") {
                 faults_.set(json::parse(exchange->body()));
-                replyJson(*exchange, 200, json::object());
+                exchange->reply(200, { { "Content-Type", "application/json" } }, json::object().dump());
                 return;
             }
             const std::string expected = exchange->header("Expect-Instance");
@@ -41,6 +45,10 @@
                 exchange->reply(421, { { "Instance-Id", id_ } }, "");
                 return;
             }
+            if (exchange->path() == "/health" || exchange->path() == "/goldcrestcleat/report") {
+                exchange->reply(200, { { "Instance-Id", id_ } }, "");
+                return;
+            }
             if (faults_.consume("shedNext")) {
                 shed(*exchange);
                 return;
@@ -50,13 +58,13 @@
 
     private:
         struct Stream {
-            http::Exchange::Ptr exchange;
+            typename Exchange::Ptr exchange;
             std::uint64_t next = 1;
             std::uint64_t last = 0;
             bool isOver = false;
         };
 
-        void record(const char* event, const http::Exchange& exchange)
+        void record(const char* event, const Exchange& exchange)
         {
             truth_.write(loop_.now(),
                 { { "event", event }, { "id", exchange.header("Request-Id") }, { "path", exchange.path() },
@@ -69,7 +77,7 @@
         }
 
         /// Rejects a request; `backOffS` makes the server want no others for so many seconds.
-        void shed(http::Exchange& exchange)
+        void shed(Exchange& exchange)
         {
             record("shed", exchange);
             http::Fields fields = { { "Not-Executed", "1" }, { "Request-Id", exchange.header("Request-Id") } };
@@ -78,12 +86,12 @@
             exchange.reply(503, fields, "");
         }
 
-        void run(const http::Exchange::Ptr& exchange)
+        void run(const typename Exchange::Ptr& exchange)
         {
             record("run", *exchange);
             if (exchange->path().find("/poison") != std::string::npos || faults_.consume("crashNext"))
                 std::_Exit(1);
-            exchange->onCallerDisconnected = [this, weak = std::weak_ptr<http::Exchange>(exchange)] {
+            exchange->onCallerDisconnected = [this, weak = std::weak_ptr<Exchange>(exchange)] {
                 if (const auto disconnected = weak.lock())
                     record("gone", *disconnected);
             };
@@ -96,11 +104,11 @@
                 if (isStream)
                     beginStream(exchange);
                 else
-                    answer(*exchange);
+                    answer(exchange);
             });
         }
 
-        http::Fields answerFields(const http::Exchange& exchange)
+        http::Fields answerFields(const Exchange& exchange)
         {
             std::string requestId = exchange.header("Request-Id");
             if (faults_.consume("crossNext"))
@@ -113,17 +121,24 @@
             return fields;
         }
 
-        void answer(http::Exchange& exchange)
+        void answer(const typename Exchange::Ptr& exchange)
         {
             if (faults_.consume("dropReplyNext")) {
-                exchange.abort();
+                exchange->abort();
                 return;
             }
             const int status = faults_.consume("errorNext") ? 500 : 200;
-            exchange.reply(status, answerFields(exchange), "answer to " + exchange.header("Request-Id"));
+            const std::string text = "answer to " + exchange->header("Request-Id");
+            if (faults_.consume("halfNext")) {
+                exchange->startStream(status, answerFields(*exchange));
+                exchange->write(text.substr(0, text.size() / 2));
+                unanswered_.push_back(exchange);
+                return;
+            }
+            exchange->reply(status, answerFields(*exchange), text);
         }
 
-        void beginStream(const http::Exchange::Ptr& exchange)
+        void beginStream(const typename Exchange::Ptr& exchange)
         {
             const std::string& path = exchange->path();
             const std::string lastEventId = exchange->header("Last-Event-Id");
@@ -173,7 +188,7 @@
         TruthLog truth_;
         Faults faults_;
         std::string id_;
-        std::vector<http::Exchange::Ptr> unanswered_; // kept open without an answer
+        std::vector<typename Exchange::Ptr> unanswered_; // kept open without an answer
     };
 
 } // namespace
@@ -181,7 +196,12 @@
 int runSignedServer(const std::string& address, const std::string& truthPath, const json& faults)
 {
     loop::EventLoop eventLoop;
-    SignedServer server(eventLoop, truthPath, faults);
+    if (faults.value("unframed", 0) != 0) {
+        SignedServer<UnframedExchange> server(eventLoop, truthPath, faults);
+        return serveUnframed(
+            eventLoop, address, [&](const UnframedExchange::Ptr& exchange) { server.handle(exchange); });
+    }
+    SignedServer<http::Exchange> server(eventLoop, truthPath, faults);
     return serve(eventLoop, address, [&](const http::Exchange::Ptr& exchange) { server.handle(exchange); });
 }
 
--- a/tools/harness/FrontRig.h
+++ b/tools/harness/FrontRig.h
@@ -19,6 +19,7 @@
     int serverSlots = 8; ///< concurrent requests that a server registers as its capacity
     nlohmann::json bounds = nlohmann::json::object(); ///< merged into each daemon's bounds
     nlohmann::json settings = nlohmann::json::object(); ///< merged into each daemon's settings
+    nlohmann::json serverFaults = nlohmann::json::object(); ///< of each server from its start
 };
 
 /// The parts of a stream of numbered events that a caller received.
@@ -29,6 +30,9 @@
     std::string signature;
 };
 
+/// Parses the bytes of an answer in chunks or with a length. One with neither is not complete.
+EventAnswer readEventAnswer(const std::string& bytes);
+
 /// Stand-ins of the users' platform and daemons in front of them, as processes on loopback addresses.
 ///
 /// Routes of host `shop.example`: `/read/` (idempotent) and `/book/` (not idempotent) to the apps; `/chat/` (a
@@ -97,6 +101,9 @@
     Answer call(int daemon, const std::string& method, const std::string& path, const Headers& more = {},
         const std::string& body = "", std::string* requestId = nullptr) const;
 
+    /// Returns the bytes of a request for a stream.
+    static std::string streamRequest(const std::string& path, const Headers& more = {});
+
     /// Reads a stream of numbered events.
     EventAnswer stream(int daemon, const std::string& path, const Headers& more = {}) const;
 
