Log and measure how current the copies of the tables are

Callers saw changes that were acknowledged and not in force, and the logs could not tell the three hypotheses apart: they stated the version of the configuration only. New lines state which rows a daemon took, from the store or from which peer, up to which version it knows a table, when it begins or ceases to lead and how many go before it, and for how long it has known that it is behind.

No decision changes. shared_tables_test has a test of the events; it and table_watcher, membership and removal_search pass.

--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -340,6 +340,9 @@
             metrics_.setRetriesLeft(service, retryBudget_.left(service, loop_.now()));
         metrics_.setConfigurationVersion(routeTable_ ? routeTable_->version() : 0);
         metrics_.setPeers(membership_.peersUp(), static_cast<double>(membership_.oldestReportMs()));
+        metrics_.setLeading(membership_.isLeading());
+        for (const auto& table : membership_.tables())
+            metrics_.setTable(table.table, table.version, static_cast<double>(table.behindMs));
         metrics_.setLogLinesLost(log_.omittedLines(), observe::Log::droppedLines());
         metrics_.setEvacuatedDataCentres(serverRegistry_.evacuatedDataCentres().size());
         metrics_.setOpenRequests(static_cast<int>(forwardingEnvironment_.openRequests.size()));
--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -74,7 +74,12 @@
     , tables_(loop, routing::nodeKey(settings.self.id),
           { [this](NodeKey peer, const PeerMessage& message) { links_.send(peer, message); },
               [this](const PeerMessage& message) { links_.broadcast(message); },
-              [this] { links_.broadcast(currentLoads()); }, [this] { return connectedPeers(); } })
+              [this] { links_.broadcast(currentLoads()); }, [this] { return connectedPeers(); },
+              [this](const std::string& event, json fields, NodeKey source) {
+                  const auto* peer = links_.find(source);
+                  fields["source"] = peer ? peer->vm.id : "store";
+                  log_.infoRateLimited(event, std::move(fields));
+              } })
     , verdictRows_(store, log)
     , sharedQuarantine_(loop, log, quarantine, settings.self.id,
           { [this](const PeerMessage& message) { links_.broadcast(message); },
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -79,6 +79,12 @@
     /// Returns how long the store has not been known to answer any daemon.
     loop::TimeMs storeUnansweredMs() const { return tables_.unansweredMs(); }
 
+    /// Returns how current this daemon's copy of each table is.
+    std::vector<SharedTables::TableStatus> tables() const { return tables_.status(); }
+
+    /// Returns whether this daemon watches the tables for the others.
+    bool isLeading() const { return tables_.isLeading(); }
+
     /// Returns the interval between two load messages to a peer.
     static loop::TimeMs loadsPeriodMs(std::size_t peers);
 
--- a/src/goldcrestcleat/fleet/SharedTables.cpp
+++ b/src/goldcrestcleat/fleet/SharedTables.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestcleat/fleet/SharedTables.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace goldcrestcleat::fleet {
 
@@ -79,7 +80,8 @@
 {
     observeStore();
     const bool isSettling = loop_.now() - startedAt_ < SETTLING_MS;
-    isLeading_ = (knowsPeers_ || !isSettling) && countLeadersBefore() < LEADER_COUNT;
+    const std::size_t leadersBefore = countLeadersBefore();
+    setLeading((knowsPeers_ || !isSettling) && leadersBefore < LEADER_COUNT, leadersBefore);
     for (auto& [table, shared] : tables_)
         shared.watcher->setLeading(isLeading_, WATCH_MS);
 }
@@ -113,9 +115,10 @@
     if (shared == tables_.end())
         return;
     const std::uint64_t known = shared->second.watcher->mirror().version();
-    if (rows.changes.isComplete || known >= rows.afterVersion)
-        shared->second.watcher->applyFromPeer(rows.changes);
-    else
+    if (rows.changes.isComplete || known >= rows.afterVersion) {
+        if (const std::size_t changed = shared->second.watcher->applyFromPeer(rows.changes))
+            reportRows(shared->second, changed, peer);
+    } else
         hooks_.send(peer, MirrorRequest { rows.table, known });
 }
 
@@ -125,8 +128,43 @@
     return outages_.mayHaveExpired(loop_.now());
 }
 
+std::vector<SharedTables::TableStatus> SharedTables::status() const
+{
+    std::vector<TableStatus> all;
+    for (const auto& [table, shared] : tables_) {
+        const auto& mirror = shared.watcher->mirror();
+        const loop::TimeMs behindMs = shared.behindSince == 0 ? 0 : loop_.now() - shared.behindSince;
+        all.push_back({ table, mirror.version(), mirror.newestRow(), behindMs });
+    }
+    return all;
+}
+
 // ---- private ----
 
+void SharedTables::report(const std::string& event, nlohmann::json fields, NodeKey peer) const
+{
+    if (hooks_.onEvent)
+        hooks_.onEvent(event, std::move(fields), peer);
+}
+
+void SharedTables::reportRows(const SharedTable& shared, std::size_t rows, NodeKey peer) const
+{
+    const auto& mirror = shared.watcher->mirror();
+    report("table-rows",
+        { { "table", shared.watcher->table() }, { "rows", rows }, { "version", mirror.version() },
+            { "newestRow", mirror.newestRow() }, { "leading", isLeading_ } },
+        peer);
+}
+
+void SharedTables::setLeading(bool isLeading, std::size_t leadersBefore)
+{
+    if (isLeading == isLeading_)
+        return;
+    isLeading_ = isLeading;
+    report("leading",
+        { { "leading", isLeading_ }, { "leadersBefore", leadersBefore }, { "reports", storeStatus_.size() } });
+}
+
 /// Returns the number of peers with smaller keys than this daemon's that can lead.
 std::size_t SharedTables::countLeadersBefore() const
 {
@@ -151,6 +189,7 @@
 void SharedTables::forwardChanges(
     const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes)
 {
+    reportRows(tables_.at(table), changes.rows.size(), routing::NO_NODE);
     if (afterVersion == 0)
         return;
     std::size_t bytes = 0;
@@ -171,7 +210,12 @@
     const std::uint64_t known = shared.watcher->mirror().version();
     shared.newestRow = std::max(shared.newestRow, newestRow);
     if (shared.newestRow <= known) {
+        if (shared.isBehindReported)
+            report("table-caught-up",
+                { { "table", shared.watcher->table() }, { "version", known },
+                    { "behindMs", now - shared.behindSince } });
         shared.behindSince = shared.requestedAt = 0;
+        shared.isBehindReported = false;
         return;
     }
     if (shared.behindSince == 0)
@@ -183,8 +227,15 @@
         return;
     shared.requestedAt = now;
     hooks_.send(peer, MirrorRequest { shared.watcher->table(), known });
-    if (isRequested)
-        shared.watcher->checkNow();
+    if (!isRequested)
+        return;
+    shared.watcher->checkNow();
+    if (std::exchange(shared.isBehindReported, true))
+        return;
+    report("table-behind",
+        { { "table", shared.watcher->table() }, { "version", known }, { "newestRow", shared.newestRow },
+            { "behindMs", now - shared.behindSince }, { "storeAnswers", shared.watcher->isAnswering() } },
+        peer);
 }
 
 } // namespace goldcrestcleat::fleet
--- a/src/goldcrestcleat/fleet/SharedTables.h
+++ b/src/goldcrestcleat/fleet/SharedTables.h
@@ -32,6 +32,17 @@
         std::function<void(const PeerMessage&)> broadcast;
         std::function<void()> sendLoads; ///< sends a load message to all peers now
         std::function<std::vector<routing::NodeKey>()> peersUp; ///< returns the peers whose links are up
+
+        /// Receives what changes here, for the log, with the peer that it came from or NO_NODE; may be unset.
+        std::function<void(const std::string& event, nlohmann::json fields, routing::NodeKey peer)> onEvent {};
+    };
+
+    /// How current this daemon's copy of a table is.
+    struct TableStatus {
+        std::string table;
+        std::uint64_t version = 0; ///< up to which all changes are known
+        std::uint64_t newestRow = 0; ///< newest version of any row
+        loop::TimeMs behindMs = 0; ///< for how long a peer has been known to have newer rows; 0 if none has
     };
 
     SharedTables(const loop::EventLoop& loop, routing::NodeKey self, Hooks hooks);
@@ -68,6 +79,9 @@
     /// A daemon that the store does not answer learns from the peers whether it answers them.
     bool mayHaveExpired();
 
+    /// Returns the status of each table, by name.
+    std::vector<TableStatus> status() const;
+
     /// Returns how long the store has not been known to answer any daemon.
     loop::TimeMs unansweredMs() const { return outages_.unansweredMs(loop_.now()); }
 
@@ -77,6 +91,7 @@
         std::uint64_t newestRow = 0; // newest version that a peer has reported
         loop::TimeMs behindSince = 0; // since when a peer is known to have newer rows; 0 if none has
         loop::TimeMs requestedAt = 0; // when the newer rows were requested from a peer; 0 if they were not
+        bool isBehindReported = false; // `onEvent` has been told that it is behind
     };
 
     /// A peer's access to the store as it last reported it.
@@ -92,6 +107,9 @@
     std::size_t countLeadersBefore() const;
     void observeStore();
     void forwardChanges(const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes);
+    void setLeading(bool isLeading, std::size_t leadersBefore);
+    void reportRows(const SharedTable& shared, std::size_t rows, routing::NodeKey peer) const;
+    void report(const std::string& event, nlohmann::json fields, routing::NodeKey peer = routing::NO_NODE) const;
     void catchUp(routing::NodeKey peer, SharedTable& shared, std::uint64_t newestRow);
 
     const loop::EventLoop& loop_;
--- a/src/goldcrestcleat/observe/Metrics.cpp
+++ b/src/goldcrestcleat/observe/Metrics.cpp
@@ -83,6 +83,14 @@
                      .Name("goldcrestcleat_held_bytes")
                      .Help("Memory of answers being received, of queued output and of the bodies of open requests")
                      .Register(*registry_))
+    , tableVersion_(prometheus::BuildGauge()
+                        .Name("goldcrestcleat_table_version")
+                        .Help("Version of the store up to which all changes of a table are known here")
+                        .Register(*registry_))
+    , tableBehind_(prometheus::BuildGauge()
+                       .Name("goldcrestcleat_table_behind_seconds")
+                       .Help("Time since a peer is known to have newer rows of a table; 0 if none has")
+                       .Register(*registry_))
     , firstAnswer_(histogram(
           *registry_, "goldcrestcleat_first_answer_seconds", "Time from arrival to the head of the answer, by kind"))
     , longestPause_(&histogram(
@@ -109,6 +117,7 @@
     , peersUp_(gauge(*registry_, "goldcrestcleat_peers_up", "Peers whose link is up"))
     , oldestReport_(gauge(
           *registry_, "goldcrestcleat_oldest_peer_report_seconds", "Age of the oldest report of a peer that is up"))
+    , leading_(gauge(*registry_, "goldcrestcleat_leading", "1 if this daemon watches the store for the others"))
 {
 }
 
@@ -211,6 +220,12 @@
     heldBytes_.Add({ { "kind", kind } }).Set(static_cast<double>(bytes));
 }
 
+void Metrics::setTable(const std::string& table, std::uint64_t version, double behindMs)
+{
+    tableVersion_.Add({ { "table", table } }).Set(static_cast<double>(version));
+    tableBehind_.Add({ { "table", table } }).Set(behindMs / MS_PER_SECOND);
+}
+
 void Metrics::setPeers(int up, double oldestReportMs)
 {
     peersUp_->Set(up);
--- a/src/goldcrestcleat/observe/Metrics.h
+++ b/src/goldcrestcleat/observe/Metrics.h
@@ -78,6 +78,12 @@
     /// Sets the number of peers that are up and the age of the oldest among their latest reports, in ms.
     void setPeers(int up, double oldestReportMs);
 
+    /// Sets whether this daemon watches the tables of the store for the others.
+    void setLeading(bool isLeading) { leading_->Set(isLeading ? 1 : 0); }
+
+    /// Sets the version of the copy of a table, and for how long a peer has been known to have newer rows, in ms.
+    void setTable(const std::string& table, std::uint64_t version, double behindMs);
+
     /// Sets the totals of log lines not written: omitted to limit the volume, or dropped because the reader was slow.
     void setLogLinesLost(std::uint64_t omitted, std::uint64_t dropped);
 
@@ -112,6 +118,8 @@
     prometheus::Family<prometheus::Gauge>& engineLoad_;
     prometheus::Family<prometheus::Gauge>& retriesLeft_;
     prometheus::Family<prometheus::Gauge>& heldBytes_;
+    prometheus::Family<prometheus::Gauge>& tableVersion_;
+    prometheus::Family<prometheus::Gauge>& tableBehind_;
     HistogramFamily& firstAnswer_;
     prometheus::Histogram* longestPause_;
     prometheus::Histogram* addedLatency_;
@@ -126,6 +134,7 @@
     prometheus::Gauge* configuration_;
     prometheus::Gauge* peersUp_;
     prometheus::Gauge* oldestReport_;
+    prometheus::Gauge* leading_;
     std::map<std::string, prometheus::Gauge*> engineLoads_;
     std::map<std::string, std::pair<prometheus::Gauge*, prometheus::Gauge*>> bans_; // crashes and answers
     std::map<std::pair<std::string, int>, prometheus::Counter*> requestCounters_;
--- a/src/goldcrestcleat/store/TableWatcher.cpp
+++ b/src/goldcrestcleat/store/TableWatcher.cpp
@@ -52,14 +52,15 @@
 
 bool TableWatcher::isOverdue() const { return isLeading_ && loop_.now() - lastAnswerAt_ > openWatchMs() + OVERDUE_MS; }
 
-void TableWatcher::applyFromPeer(const RowChanges& changes)
+std::size_t TableWatcher::applyFromPeer(const RowChanges& changes)
 {
     if (changes.version <= mirror_.version())
-        return;
+        return 0;
     const auto changed = changes.isComplete ? mirror_.replace(changes.rows, changes.version)
                                             : mirror_.apply(changes.rows, changes.version);
     if (!changed.empty())
         hooks_.onChange(changed);
+    return changed.size();
 }
 
 void TableWatcher::checkNow()
--- a/src/goldcrestcleat/store/TableWatcher.h
+++ b/src/goldcrestcleat/store/TableWatcher.h
@@ -28,8 +28,8 @@
     /// Sets whether this watcher leads, and how long its watches stay open.
     void setLeading(bool isLeading, loop::TimeMs watchMs);
 
-    /// Applies changes from a peer.
-    void applyFromPeer(const RowChanges& changes);
+    /// Applies changes from a peer; returns how many rows changed.
+    std::size_t applyFromPeer(const RowChanges& changes);
 
     /// Reads changes immediately, as when a peer has newer ones, unless a call is open or the last one failed.
     void checkNow();
--- a/tests/unit/shared_tables_test.cpp
+++ b/tests/unit/shared_tables_test.cpp
@@ -23,11 +23,15 @@
     std::vector<PeerMessage> broadcasts;
     int announcements = 0;
     std::vector<routing::NodeKey> connectedPeers;
+    std::vector<std::tuple<std::string, nlohmann::json, routing::NodeKey>> events;
     TableWatcher watcher { loop, store.rowStore, "t", { [](const auto&) {}, [](bool, const std::string&) {} } };
     SharedTables tables { loop, SELF,
         { [this](routing::NodeKey peer, const PeerMessage& message) { sent.emplace_back(peer, message); },
             [this](const PeerMessage& message) { broadcasts.push_back(message); }, [this] { ++announcements; },
-            [this] { return connectedPeers; } } };
+            [this] { return connectedPeers; },
+            [this](const std::string& event, const nlohmann::json& fields, routing::NodeKey peer) {
+                events.emplace_back(event, fields, peer);
+            } } };
 
     Fixture()
     {
@@ -62,6 +66,17 @@
         return loads;
     }
 
+    /// Returns the events of a kind, without those of other kinds.
+    std::vector<std::pair<nlohmann::json, routing::NodeKey>> eventsOf(const std::string& kind) const
+    {
+        std::vector<std::pair<nlohmann::json, routing::NodeKey>> found;
+        for (const auto& [event, fields, peer] : events) {
+            if (event == kind)
+                found.emplace_back(fields, peer);
+        }
+        return found;
+    }
+
     /// Runs for a time in which the periodic updates take place.
     void updateFor(loop::TimeMs ms)
     {
@@ -289,3 +304,26 @@
     cr_assert_eq(f.sent.size(), 2);
     cr_assert_neq(f.sent[0].first, f.sent[1].first);
 }
+
+Test(shared_tables, the_log_tells_from_where_rows_came_who_leads_and_for_how_long_a_daemon_was_behind)
+{
+    Fixture f;
+    cr_assert_eq(f.eventsOf("leading").size(), 1);
+    f.readTable();
+    f.report(FIRST, true);
+    f.report(SECOND, true);
+    cr_assert_eq(f.eventsOf("leading").back().first["leadersBefore"], 2);
+    cr_assert_eq(f.eventsOf("table-rows").back().first["version"], 10);
+    cr_assert_eq(f.eventsOf("table-rows").back().second, routing::NO_NODE, "from the store");
+    for (int i = 0; i < 3; ++i) {
+        f.report(FIRST, true, false, 12);
+        f.runFor(SharedTables::REPAIR_PERIOD_MS + 10);
+    }
+    cr_assert_eq(f.eventsOf("table-behind").size(), 1);
+    cr_assert_gt(f.tables.status().front().behindMs, SharedTables::REPAIR_PERIOD_MS);
+    f.tables.onRows(FIRST, MirrorRows { "t", 10, { false, 12, { { "a", "2", 12, false } } } });
+    cr_assert_eq(f.eventsOf("table-rows").back().second, FIRST);
+    f.report(FIRST, true, false, 12);
+    cr_assert_eq(f.eventsOf("table-caught-up").size(), 1);
+    cr_assert_eq(f.tables.status().front().behindMs, 0);
+}
