Pause between whole reads of a table while the store's history is gone

What the store saw: over 140,000 calls in 4 s from five daemons after it had come back from an older copy, and 126,044 in 3 s from three while its reads came from a copy behind its history.

Cause: a watch that gets "history gone" read the whole table at once, and after the read a leader watched at once. If the copy that answers is older than the history, the next watch gets the same answer. Nothing bounded that loop; real stores refuse the calls beyond their rate, those of other daemons too.

Change: the first gap is read at once, each further one before a watch was answered waits 0.1 s to 0.4 s, as failed calls do.

--- a/src/goldcrestcleat/store/TableWatcher.cpp
+++ b/src/goldcrestcleat/store/TableWatcher.cpp
@@ -24,6 +24,13 @@
     constexpr loop::TimeMs FIRST_PAUSE_MS = 100;
     constexpr loop::TimeMs LONGEST_PAUSE_MS = 400;
 
+    /// Returns the pause before the next call after a number of earlier consecutive failures.
+    loop::TimeMs pauseAfter(int failures)
+    {
+        constexpr int MAX_DOUBLINGS = 3;
+        return std::min(FIRST_PAUSE_MS << std::min(failures, MAX_DOUBLINGS), LONGEST_PAUSE_MS);
+    }
+
 } // namespace
 
 TableWatcher::TableWatcher(loop::EventLoop& loop, const RowStore& store, std::string table, Hooks hooks)
@@ -125,8 +132,7 @@
     calledAt_ = loop_.now();
     store_.watch(table_, mirror_.version(), openWatchMs(), [this](const RowSet& answer) {
         if (answer.outcome == ReadOutcome::HistoryCompacted) {
-            needsFullRead_ = true;
-            startNextCall();
+            onGap();
             return;
         }
         if (answer.outcome != ReadOutcome::Answered) {
@@ -134,6 +140,7 @@
             return;
         }
         onAnswered();
+        gaps_ = 0;
         const std::uint64_t previousVersion = mirror_.version();
         publishChanges(previousVersion, mirror_.apply(answer.rows, answer.version));
         const loop::TimeMs leaderPauseMs = answer.rows.empty() ? 0 : BATCH_MS;
@@ -141,17 +148,27 @@
     });
 }
 
+/// Reads the complete table, at once the first time. The copy that answers may be behind the store's history for some
+/// seconds, so that the next watch shows a gap again.
+void TableWatcher::onGap()
+{
+    needsFullRead_ = true;
+    if (gaps_ == 0)
+        startNextCall();
+    else
+        scheduleNextCall(pauseAfter(gaps_ - 1));
+    ++gaps_;
+}
+
 void TableWatcher::onFailed(const RowSet& answer)
 {
-    const int doublings = std::min(failures_, 3);
-    ++failures_;
     if (onNoAnswer)
         onNoAnswer(calledAt_);
     if (isAnswering_) {
         isAnswering_ = false;
         hooks_.onAvailability(false, answer.reason);
     }
-    scheduleNextCall(std::min(FIRST_PAUSE_MS << doublings, LONGEST_PAUSE_MS));
+    scheduleNextCall(pauseAfter(failures_++));
 }
 
 void TableWatcher::onAnswered()
--- a/src/goldcrestcleat/store/TableWatcher.h
+++ b/src/goldcrestcleat/store/TableWatcher.h
@@ -64,6 +64,7 @@
     void readTable(const std::string& fromKey);
     void watch();
     void scheduleNextCall(loop::TimeMs pauseMs);
+    void onGap();
     void onFailed(const RowSet& answer);
     void onAnswered();
     void publishChanges(std::uint64_t afterVersion, const std::vector<VersionedRow>& changed);
@@ -84,6 +85,7 @@
     loop::TimeMs lastAnswerAt_ = 0; // when the store last answered, or when this watcher began to lead
     loop::EventLoop::TimerId timer_ = 0; // of the next call; 0 while a call is open
     int failures_ = 0; // consecutive
+    int gaps_ = 0; // watches whose history was gone since the last one that was answered
 };
 
 } // namespace goldcrestcleat::store
