--- a/src/goldcrestcleat/FrontDaemon.cpp
+++ b/src/goldcrestcleat/FrontDaemon.cpp
@@ -69,7 +69,7 @@
               watcherHooks(adapter_.serversTable, [this](const Rows& rows) { onServerRows(rows); }))
         , serverRegistryUpdater_(loop_, log_, serverRegistry_,
               { adapter_.parseServer, [this] { return membership_.mayHaveExpired(); },
-                  [this] { return membership_.storeUnansweredMs(); },
+                  [this] { return membership_.mayBeRewritten(); }, [this] { return membership_.storeUnansweredMs(); },
                   [this](routing::NodeKey server) { onServerEnded(server); } })
         , evacuationUpdater_(loop_, log_, serverRegistry_, adapter_.evacuationKeyPrefix)
         , reachabilityChecker_(loop_, httpClient_, serverRegistry_, log_)
@@ -342,7 +342,7 @@
         metrics_.setPeers(membership_.peersUp(), static_cast<double>(membership_.oldestReportMs()));
         metrics_.setLeading(membership_.isLeading());
         for (const auto& table : membership_.tables())
-            metrics_.setTable(table.table, table.version, static_cast<double>(table.behindMs));
+            metrics_.setTable(table.table, table.state.era, table.state.version, static_cast<double>(table.behindMs));
         metrics_.setLogLinesLost(log_.omittedLines(), observe::Log::droppedLines());
         metrics_.setEvacuatedDataCentres(serverRegistry_.evacuatedDataCentres().size());
         metrics_.setOpenRequests(static_cast<int>(forwardingEnvironment_.openRequests.size()));
--- a/src/goldcrestcleat/fleet/Membership.h
+++ b/src/goldcrestcleat/fleet/Membership.h
@@ -76,6 +76,9 @@
     /// Returns whether an entry that is missing may have expired in an outage of the store, and may still return.
     bool mayHaveExpired() { return tables_.mayHaveExpired(); }
 
+    /// Returns whether a row that is missing since the store returned from an older copy may still be written again.
+    bool mayBeRewritten() const { return tables_.mayBeRewritten(); }
+
     /// Returns how long the store has not been known to answer any daemon.
     loop::TimeMs storeUnansweredMs() const { return tables_.unansweredMs(); }
 
--- a/src/goldcrestcleat/fleet/PeerMessages.cpp
+++ b/src/goldcrestcleat/fleet/PeerMessages.cpp
@@ -94,7 +94,12 @@
 
     json toArray(const ServerLoads& m)
     {
-        json array = { m.storeAnswers, m.isWatchOverdue, m.isWatchAnswered, m.newestRows };
+        json newestRows = json::array();
+        for (const auto& newest : m.newestRows) {
+            newestRows.push_back(newest.era);
+            newestRows.push_back(newest.version);
+        }
+        json array = { m.storeAnswers, m.isWatchOverdue, m.isWatchAnswered, newestRows };
         for (const auto& [server, open] : m.open) {
             array.push_back(server);
             array.push_back(open);
@@ -140,14 +145,14 @@
         return array;
     }
 
-    json toArray(const MirrorRequest& m) { return { m.table, m.afterVersion }; }
+    json toArray(const MirrorRequest& m) { return { m.table, m.afterVersion, m.era }; }
 
     json toArray(const MirrorRows& m)
     {
         json rows = json::array();
         for (const auto& row : m.changes.rows)
             rows.push_back({ row.key, row.value, row.version, row.isRemoved });
-        json array = { m.table, m.afterVersion, m.changes.isComplete, m.changes.version };
+        json array = { m.table, m.afterVersion, m.changes.isComplete, m.changes.version, m.changes.era };
         const std::vector<std::uint8_t> encoded = json::to_cbor(rows);
         if (encoded.size() < MIN_COMPRESSED_BYTES) {
             array.push_back(rows);
@@ -284,8 +289,9 @@
         m.storeAnswers = read<bool>(a, 1);
         m.isWatchOverdue = read<bool>(a, 2);
         m.isWatchAnswered = read<bool>(a, 3);
-        for (const json& version : a.at(4))
-            m.newestRows.push_back(version.get<std::uint64_t>());
+        const json& newestRows = a.at(4);
+        for (std::size_t i = 0; i + 1 < newestRows.size(); i += 2)
+            m.newestRows.push_back({ read<std::uint64_t>(newestRows, i), read<std::uint64_t>(newestRows, i + 1) });
         for (std::size_t i = 5; i + 1 < a.size(); i += 2)
             m.open.emplace_back(read<std::uint32_t>(a, i), read<int>(a, i + 1));
         return m;
@@ -308,7 +314,8 @@
         m.afterVersion = read<std::uint64_t>(a, 2);
         m.changes.isComplete = read<bool>(a, 3);
         m.changes.version = read<std::uint64_t>(a, 4);
-        for (const json& row : decodeRows(a.at(5)))
+        m.changes.era = read<std::uint64_t>(a, 5);
+        for (const json& row : decodeRows(a.at(6)))
             m.changes.rows.push_back({ row.at(0), row.at(1), read<std::uint64_t>(row, 2), read<bool>(row, 3) });
         return m;
     }
@@ -361,7 +368,7 @@
         case 13:
             return readServerLoads(a);
         case 14:
-            return MirrorRequest { a.at(1), read<std::uint64_t>(a, 2) };
+            return MirrorRequest { a.at(1), read<std::uint64_t>(a, 2), read<std::uint64_t>(a, 3) };
         case 15:
             return readMirrorRows(a);
         case 16:
--- a/src/goldcrestcleat/fleet/PeerMessages.h
+++ b/src/goldcrestcleat/fleet/PeerMessages.h
@@ -119,13 +119,14 @@
     bool storeAnswers = true; ///< the store answered the sender's last calls
     bool isWatchOverdue = false; ///< the sender leads, but its watch is overdue, so that another daemon must lead
     bool isWatchAnswered = false; ///< the sender leads, and the store answers its watch in time
-    std::vector<std::uint64_t> newestRows {}; ///< newest row version of each of the sender's mirrors, by table name
+    std::vector<store::StateVersion> newestRows {}; ///< newest row of each of the sender's mirrors, by table name
 };
 
 /// Requests the changes of a mirrored table, for example because the store does not answer the sender.
 struct MirrorRequest {
     std::string table;
     std::uint64_t afterVersion = 0;
+    std::uint64_t era = 0; ///< of the store, in which the version was given out
 };
 
 /// Rows of the sender's mirror: a reply to `MirrorRequest`, or a broadcast of changes.
--- a/src/goldcrestcleat/fleet/SharedTables.cpp
+++ b/src/goldcrestcleat/fleet/SharedTables.cpp
@@ -29,6 +29,9 @@
     tables_[watcher.table()].watcher = &watcher;
     watcher.onStoreChanges = [this, table = watcher.table()](std::uint64_t afterVersion,
                                  const store::RowChanges& changes) { forwardChanges(table, afterVersion, changes); };
+    watcher.onNewEra = [this] { outages_.observeRestore(loop_.now()); };
+    watcher.onStoreRestored
+        = [this, &watcher](std::size_t changedRows) { onStoreRestored(tables_.at(watcher.table()), changedRows); };
     watcher.onAnswer = [this] { outages_.observe(loop_.now(), true); };
     watcher.onNoAnswer = [this](loop::TimeMs calledAt) { outages_.observeFailure(calledAt); };
     updateLeading();
@@ -50,7 +53,8 @@
         loads.storeAnswers = loads.storeAnswers && shared.watcher->isAnswering();
         loads.isWatchOverdue = loads.isWatchOverdue || shared.watcher->isOverdue();
         loads.isWatchAnswered = loads.isWatchAnswered || shared.watcher->isWatchAnswered();
-        loads.newestRows.push_back(shared.watcher->mirror().newestRow());
+        const auto& mirror = shared.watcher->mirror();
+        loads.newestRows.push_back({ mirror.era(), mirror.newestRow() });
     }
 }
 
@@ -92,8 +96,9 @@
     if (up.empty())
         return;
     for (const auto& [table, shared] : tables_) {
+        const auto known = shared.watcher->mirror().state();
         if (!shared.watcher->isCurrent())
-            hooks_.send(up[nextPeer_++ % up.size()], MirrorRequest { table, shared.watcher->mirror().version() });
+            hooks_.send(up[nextPeer_++ % up.size()], MirrorRequest { table, known.version, known.era });
     }
 }
 
@@ -102,11 +107,11 @@
     const auto shared = tables_.find(request.table);
     if (shared == tables_.end())
         return;
-    const auto& watcher = *shared->second.watcher;
-    if (watcher.mirror().version() <= request.afterVersion)
+    const auto& mirror = shared->second.watcher->mirror();
+    if (mirror.state() <= store::StateVersion { request.era, request.afterVersion })
         return;
-    hooks_.send(
-        peer, MirrorRows { request.table, request.afterVersion, watcher.mirror().changesAfter(request.afterVersion) });
+    const std::uint64_t afterVersion = request.era == mirror.era() ? request.afterVersion : 0;
+    hooks_.send(peer, MirrorRows { request.table, afterVersion, mirror.changesAfter(afterVersion) });
 }
 
 void SharedTables::onRows(NodeKey peer, const MirrorRows& rows)
@@ -114,12 +119,15 @@
     const auto shared = tables_.find(rows.table);
     if (shared == tables_.end())
         return;
-    const std::uint64_t known = shared->second.watcher->mirror().version();
-    if (rows.changes.isComplete || known >= rows.afterVersion) {
+    const store::StateVersion known = shared->second.watcher->mirror().state();
+    if (rows.changes.era < known.era)
+        return;
+    const bool follows = rows.changes.era == known.era && known.version >= rows.afterVersion;
+    if (rows.changes.isComplete || follows) {
         if (const std::size_t changed = shared->second.watcher->applyFromPeer(rows.changes))
             reportRows(shared->second, changed, peer);
     } else
-        hooks_.send(peer, MirrorRequest { rows.table, known });
+        hooks_.send(peer, MirrorRequest { rows.table, known.version, known.era });
 }
 
 bool SharedTables::mayHaveExpired()
@@ -134,7 +142,7 @@
     for (const auto& [table, shared] : tables_) {
         const auto& mirror = shared.watcher->mirror();
         const loop::TimeMs behindMs = shared.behindSince == 0 ? 0 : loop_.now() - shared.behindSince;
-        all.push_back({ table, mirror.version(), mirror.newestRow(), behindMs });
+        all.push_back({ table, mirror.state(), mirror.newestRow(), behindMs });
     }
     return all;
 }
@@ -152,7 +160,7 @@
     const auto& mirror = shared.watcher->mirror();
     report("table-rows",
         { { "table", shared.watcher->table() }, { "rows", rows }, { "version", mirror.version() },
-            { "newestRow", mirror.newestRow() }, { "leading", isLeading_ } },
+            { "era", mirror.era() }, { "newestRow", mirror.newestRow() }, { "leading", isLeading_ } },
         peer);
 }
 
@@ -202,17 +210,24 @@
     hooks_.broadcast(MirrorRows { table, afterVersion, changes });
 }
 
+/// Announces the new era. The peers request the rows, since each of them lacks others.
+void SharedTables::onStoreRestored(const SharedTable& shared, std::size_t changedRows)
+{
+    reportRows(shared, changedRows, routing::NO_NODE);
+    hooks_.sendLoads();
+}
+
 /// Catches up with a peer that has newer rows, if they do not arrive as a broadcast: first from that peer, then also
-/// from the store.
-void SharedTables::catchUp(NodeKey peer, SharedTable& shared, std::uint64_t newestRow)
+/// from the store. The rows of a new era are not broadcast.
+void SharedTables::catchUp(NodeKey peer, SharedTable& shared, store::StateVersion newestRow)
 {
     const loop::TimeMs now = loop_.now();
-    const std::uint64_t known = shared.watcher->mirror().version();
+    const store::StateVersion known = shared.watcher->mirror().state();
     shared.newestRow = std::max(shared.newestRow, newestRow);
     if (shared.newestRow <= known) {
         if (shared.isBehindReported)
             report("table-caught-up",
-                { { "table", shared.watcher->table() }, { "version", known },
+                { { "table", shared.watcher->table() }, { "version", known.version }, { "era", known.era },
                     { "behindMs", now - shared.behindSince } });
         shared.behindSince = shared.requestedAt = 0;
         shared.isBehindReported = false;
@@ -221,19 +236,20 @@
     if (shared.behindSince == 0)
         shared.behindSince = now;
     const bool isRequested = shared.requestedAt != 0;
-    const bool isWaiting
-        = now - shared.behindSince < BROADCAST_MS || (isRequested && now - shared.requestedAt < REPAIR_PERIOD_MS);
+    const bool isBroadcast = newestRow.era == known.era && now - shared.behindSince < BROADCAST_MS;
+    const bool isWaiting = isBroadcast || (isRequested && now - shared.requestedAt < REPAIR_PERIOD_MS);
     if (isWaiting || newestRow <= known)
         return;
     shared.requestedAt = now;
-    hooks_.send(peer, MirrorRequest { shared.watcher->table(), known });
+    hooks_.send(peer, MirrorRequest { shared.watcher->table(), known.version, known.era });
     if (!isRequested)
         return;
     shared.watcher->checkNow();
     if (std::exchange(shared.isBehindReported, true))
         return;
     report("table-behind",
-        { { "table", shared.watcher->table() }, { "version", known }, { "newestRow", shared.newestRow },
+        { { "table", shared.watcher->table() }, { "version", known.version }, { "era", known.era },
+            { "newestRow", shared.newestRow.version }, { "newestEra", shared.newestRow.era },
             { "behindMs", now - shared.behindSince }, { "storeAnswers", shared.watcher->isAnswering() } },
         peer);
 }
--- a/src/goldcrestcleat/fleet/SharedTables.h
+++ b/src/goldcrestcleat/fleet/SharedTables.h
@@ -14,7 +14,8 @@
 /// Store tables that are mirrored by all daemons and whose changes the daemons forward to each other.
 ///
 /// A few daemons lead: they watch the tables and broadcast changes. Each load message states the newest row versions of
-/// its sender; a daemon that is behind requests the rows from that peer, and reads from the store if that fails.
+/// its sender; a daemon that is behind requests the rows from that peer, and reads from the store if that fails. A
+/// version of a later era of the store is newer than any of an earlier one.
 class SharedTables {
 public:
     /// Interval between repairs: a fifth of the shortest permitted delay of a configuration change.
@@ -40,7 +41,7 @@
     /// How current this daemon's copy of a table is.
     struct TableStatus {
         std::string table;
-        std::uint64_t version = 0; ///< up to which all changes are known
+        store::StateVersion state; ///< up to which all changes are known
         std::uint64_t newestRow = 0; ///< newest version of any row
         loop::TimeMs behindMs = 0; ///< for how long a peer has been known to have newer rows; 0 if none has
     };
@@ -79,6 +80,9 @@
     /// A daemon that the store does not answer learns from the peers whether it answers them.
     bool mayHaveExpired();
 
+    /// Returns whether a row that is missing since the store returned from an older copy may still be written again.
+    bool mayBeRewritten() const { return outages_.mayBeRewritten(loop_.now()); }
+
     /// Returns the status of each table, by name.
     std::vector<TableStatus> status() const;
 
@@ -88,7 +92,7 @@
 private:
     struct SharedTable {
         store::TableWatcher* watcher = nullptr;
-        std::uint64_t newestRow = 0; // newest version that a peer has reported
+        store::StateVersion newestRow; // the newest one that a peer has reported
         loop::TimeMs behindSince = 0; // since when a peer is known to have newer rows; 0 if none has
         loop::TimeMs requestedAt = 0; // when the newer rows were requested from a peer; 0 if they were not
         bool isBehindReported = false; // `onEvent` has been told that it is behind
@@ -110,7 +114,8 @@
     void setLeading(bool isLeading, std::size_t leadersBefore);
     void reportRows(const SharedTable& shared, std::size_t rows, routing::NodeKey peer) const;
     void report(const std::string& event, nlohmann::json fields, routing::NodeKey peer = routing::NO_NODE) const;
-    void catchUp(routing::NodeKey peer, SharedTable& shared, std::uint64_t newestRow);
+    void onStoreRestored(const SharedTable& shared, std::size_t changedRows);
+    void catchUp(routing::NodeKey peer, SharedTable& shared, store::StateVersion newestRow);
 
     const loop::EventLoop& loop_;
     const routing::NodeKey self_;
--- a/src/goldcrestcleat/observe/Metrics.cpp
+++ b/src/goldcrestcleat/observe/Metrics.cpp
@@ -83,6 +83,11 @@
                      .Name("goldcrestcleat_held_bytes")
                      .Help("Memory of answers being received, of queued output and of the bodies of open requests")
                      .Register(*registry_))
+    , tableEra_(prometheus::BuildGauge()
+                    .Name("goldcrestcleat_table_era")
+                    .Help("Era of the store that the version of a table belongs to; rises when the store returns from "
+                          "an older copy")
+                    .Register(*registry_))
     , tableVersion_(prometheus::BuildGauge()
                         .Name("goldcrestcleat_table_version")
                         .Help("Version of the store up to which all changes of a table are known here")
@@ -220,8 +225,9 @@
     heldBytes_.Add({ { "kind", kind } }).Set(static_cast<double>(bytes));
 }
 
-void Metrics::setTable(const std::string& table, std::uint64_t version, double behindMs)
+void Metrics::setTable(const std::string& table, std::uint64_t era, std::uint64_t version, double behindMs)
 {
+    tableEra_.Add({ { "table", table } }).Set(static_cast<double>(era));
     tableVersion_.Add({ { "table", table } }).Set(static_cast<double>(version));
     tableBehind_.Add({ { "table", table } }).Set(behindMs / MS_PER_SECOND);
 }
--- a/src/goldcrestcleat/observe/Metrics.h
+++ b/src/goldcrestcleat/observe/Metrics.h
@@ -81,8 +81,9 @@
     /// Sets whether this daemon watches the tables of the store for the others.
     void setLeading(bool isLeading) { leading_->Set(isLeading ? 1 : 0); }
 
-    /// Sets the version of the copy of a table, and for how long a peer has been known to have newer rows, in ms.
-    void setTable(const std::string& table, std::uint64_t version, double behindMs);
+    /// Sets the era and the version of the copy of a table, and for how long a peer has been known to have newer rows,
+    /// in ms.
+    void setTable(const std::string& table, std::uint64_t era, std::uint64_t version, double behindMs);
 
     /// Sets the totals of log lines not written: omitted to limit the volume, or dropped because the reader was slow.
     void setLogLinesLost(std::uint64_t omitted, std::uint64_t dropped);
@@ -118,6 +119,7 @@
     prometheus::Family<prometheus::Gauge>& engineLoad_;
     prometheus::Family<prometheus::Gauge>& retriesLeft_;
     prometheus::Family<prometheus::Gauge>& heldBytes_;
+    prometheus::Family<prometheus::Gauge>& tableEra_;
     prometheus::Family<prometheus::Gauge>& tableVersion_;
     prometheus::Family<prometheus::Gauge>& tableBehind_;
     HistogramFamily& firstAnswer_;
--- a/src/goldcrestcleat/store/OutageTracker.h
+++ b/src/goldcrestcleat/store/OutageTracker.h
@@ -47,6 +47,12 @@
     /// Records that the store did not answer a call of this daemon. An outage did not end before the call was made.
     void observeFailure(loop::TimeMs calledAt) { unansweredCallAt_ = std::max(unansweredCallAt_, calledAt); }
 
+    /// Records that the store is known to have returned from an older copy. Entries that it lacks may be written again.
+    void observeRestore(loop::TimeMs now) { rewriteUntil_ = now + RETURN_MS; }
+
+    /// Returns whether an entry that is missing in an older copy of the store may still be written again.
+    bool mayBeRewritten(loop::TimeMs now) const { return now < rewriteUntil_; }
+
     /// Returns how long the store has not been known to answer any daemon.
     loop::TimeMs unansweredMs(loop::TimeMs now) const { return now - answeredAt_; }
 
@@ -57,6 +63,7 @@
     loop::TimeMs answeredAt_;
     loop::TimeMs unansweredCallAt_ = 0; // when the last call was made that the store did not answer
     loop::TimeMs returnUntil_ = 0; // end of the time to return after the last outage
+    loop::TimeMs rewriteUntil_ = 0; // end of the time to write entries again after the last return from an older copy
 };
 
 } // namespace goldcrestcleat::store
--- a/src/goldcrestcleat/store/RowStore.h
+++ b/src/goldcrestcleat/store/RowStore.h
@@ -4,21 +4,43 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace goldcrestcleat::store {
 
+/// A state of the store. The versions of one era only increase; a store that returns from an older copy begins a new
+/// era, in which versions may be given out again.
+struct StateVersion {
+    std::uint64_t era = 0; ///< 0 if the store states none
+    std::uint64_t version = 0;
+
+    friend bool operator==(const StateVersion& a, const StateVersion& b)
+    {
+        return a.era == b.era && a.version == b.version;
+    }
+    friend bool operator!=(const StateVersion& a, const StateVersion& b) { return !(a == b); }
+    friend bool operator<(const StateVersion& a, const StateVersion& b)
+    {
+        return std::tie(a.era, a.version) < std::tie(b.era, b.version);
+    }
+    friend bool operator<=(const StateVersion& a, const StateVersion& b) { return !(b < a); }
+};
+
 /// A row of a versioned table.
 struct VersionedRow {
     std::string key;
     std::string value; ///< raw bytes; empty when removed
-    std::uint64_t version = 0; ///< increases with each change of the row
+    std::uint64_t version = 0; ///< increases with each change of the row in one era of the store
     bool isRemoved = false;
+    bool isRestored = false; ///< found in a new era of the store, and perhaps older than what was known before
 
     friend bool operator==(const VersionedRow& a, const VersionedRow& b)
     {
-        return a.key == b.key && a.value == b.value && a.version == b.version && a.isRemoved == b.isRemoved;
+        return std::tie(a.key, a.value, a.version, a.isRemoved, a.isRestored)
+            == std::tie(b.key, b.value, b.version, b.isRemoved, b.isRestored);
     }
 };
 
@@ -37,6 +59,7 @@
     std::uint64_t version = 0; ///< latest version of the store at the time of the answer
     bool isTruncated = false; ///< more rows follow the last one
     std::string reason; ///< for the log if the call failed
+    std::optional<std::uint64_t> era {}; ///< of the store; unset if the answer does not state it
 };
 
 /// A row to be written or removed if all conditions of its commit hold.
--- a/src/goldcrestcleat/store/TableClient.cpp
+++ b/src/goldcrestcleat/store/TableClient.cpp
@@ -40,7 +40,8 @@
 
 void callOnce(loop::EventLoop& loop, http::Client& client, const std::string& address, const http::Request& request,
     loop::TimeMs timeoutMs, http::Client::Reuse reuse,
-    std::function<void(http::FailurePoint, int status, const std::string& body)> onDone)
+    std::function<void(http::FailurePoint, int status, const std::string& body)> onDone,
+    std::function<void(const Poco::Net::HTTPResponse&)> onHead)
 {
     const auto pending = std::make_shared<PendingCall>();
     const auto finish = [&loop, pending, onDone = std::move(onDone)](http::FailurePoint point, int status) {
@@ -52,7 +53,11 @@
         onDone(point, status, pending->body);
     };
     http::Call::Hooks hooks;
-    hooks.onHead = [pending](const Poco::Net::HTTPResponse& head) { pending->status = head.getStatus(); };
+    hooks.onHead = [pending, onHead = std::move(onHead)](const Poco::Net::HTTPResponse& head) {
+        pending->status = head.getStatus();
+        if (onHead)
+            onHead(head);
+    };
     hooks.onBody = [pending](std::string_view part) { pending->body.append(part); };
     hooks.onEnd = [pending, finish] { finish(http::FailurePoint::ResponseStarted, pending->status); };
     hooks.onFailure = [finish](http::FailurePoint point, const std::string&) { finish(point, 0); };
--- a/src/goldcrestcleat/store/TableClient.h
+++ b/src/goldcrestcleat/store/TableClient.h
@@ -71,12 +71,14 @@
     http::Client client_;
 };
 
-/// Performs one call, collects the response body, and reports its end or the time-out.
+/// Performs one call, collects the response body, and reports its end or the time-out. `onHead` receives the head of
+/// the response; it may be unset.
 ///
 /// After a time-out, idle connections to the address are closed, since a network path that drops the packets of one
 /// connection often drops those of the others too.
 void callOnce(loop::EventLoop& loop, http::Client& client, const std::string& address, const http::Request& request,
     loop::TimeMs timeoutMs, http::Client::Reuse reuse,
-    std::function<void(http::FailurePoint, int status, const std::string& body)> onDone);
+    std::function<void(http::FailurePoint, int status, const std::string& body)> onDone,
+    std::function<void(const Poco::Net::HTTPResponse&)> onHead = {});
 
 } // namespace goldcrestcleat::store
--- a/src/goldcrestcleat/store/TableMirror.cpp
+++ b/src/goldcrestcleat/store/TableMirror.cpp
@@ -35,9 +35,37 @@
     return apply(all, version);
 }
 
+std::vector<VersionedRow> TableMirror::restore(const std::vector<VersionedRow>& rows, StateVersion state)
+{
+    const bool isFirst = !isLoaded();
+    std::map<std::string, VersionedRow> previous;
+    previous.swap(rows_);
+    era_ = state.era;
+    version_ = completeSince_ = state.version;
+    newestRow_ = 0;
+    tombstones_ = 0;
+    std::vector<VersionedRow> changed;
+    for (const auto& row : rows) {
+        const auto known = previous.find(row.key);
+        const bool isKnown = known != previous.end() && !known->second.isRemoved && known->second.value == row.value;
+        VersionedRow& stored = rows_[row.key];
+        stored = row;
+        stored.isRestored = !isFirst && !isKnown;
+        newestRow_ = std::max(newestRow_, row.version);
+        if (!isKnown)
+            changed.push_back(stored);
+    }
+    for (const auto& [key, row] : previous) {
+        if (!row.isRemoved && rows_.count(key) == 0)
+            changed.push_back({ key, "", version_, true, true });
+    }
+    return changed;
+}
+
 RowChanges TableMirror::changesAfter(std::uint64_t version) const
 {
     RowChanges changes;
+    changes.era = era_;
     changes.version = version_;
     changes.isComplete = version < completeSince_ || version == 0;
     for (const auto& [key, row] : rows_) {
@@ -64,7 +92,8 @@
     }
     if (row.version <= known->second.version && !(row.isRemoved && row.version == known->second.version))
         return false;
-    const bool changes = row.isRemoved != known->second.isRemoved || row.value != known->second.value;
+    const bool changes = row.isRemoved != known->second.isRemoved || row.value != known->second.value
+        || known->second.isRestored; // a row that is written again is no longer in doubt
     tombstones_ += row.isRemoved ? 1 : 0;
     tombstones_ -= known->second.isRemoved ? 1 : 0;
     known->second = row;
--- a/src/goldcrestcleat/store/TableWatcher.cpp
+++ b/src/goldcrestcleat/store/TableWatcher.cpp
@@ -61,10 +61,15 @@
 
 std::size_t TableWatcher::applyFromPeer(const RowChanges& changes)
 {
-    if (changes.version <= mirror_.version())
+    const StateVersion state { changes.era, changes.version };
+    if (state <= mirror_.state() || (state.era > mirror_.era() && !changes.isComplete))
         return 0;
-    const auto changed = changes.isComplete ? mirror_.replace(changes.rows, changes.version)
-                                            : mirror_.apply(changes.rows, changes.version);
+    std::vector<VersionedRow> changed;
+    if (state.era > mirror_.era())
+        changed = enterEra(changes.rows, state);
+    else
+        changed = changes.isComplete ? mirror_.replace(changes.rows, changes.version)
+                                     : mirror_.apply(changes.rows, changes.version);
     if (!changed.empty())
         hooks_.onChange(changed);
     return changed.size();
@@ -93,7 +98,6 @@
     timer_ = 0;
     if (needsFullRead_) {
         pages_.clear();
-        pagesVersion_ = 0;
         readTable("");
     } else {
         watch();
@@ -104,50 +108,100 @@
 {
     calledAt_ = loop_.now();
     store_.read(table_, fromKey, [this](const RowSet& answer) {
-        if (answer.outcome != ReadOutcome::Answered) {
+        if (answer.outcome != ReadOutcome::Answered || isOutdated(answer)) {
             onFailed(answer);
             return;
         }
         onAnswered();
-        pages_.insert(pages_.end(), answer.rows.begin(), answer.rows.end());
+        const std::uint64_t era = answer.era.value_or(mirror_.era());
         // Pages are read one after another, so the complete table is known only as of the first page's version.
-        pagesVersion_ = pagesVersion_ == 0 ? answer.version : std::min(pagesVersion_, answer.version);
-        if (answer.isTruncated && !answer.rows.empty()) {
-            readTable(answer.rows.back().key + '\0');
+        if (pages_.empty())
+            pagesState_ = { era, answer.version };
+        if (era != pagesState_.era) {
+            onGap(); // the pages are of two eras
             return;
         }
-        needsFullRead_ = false;
-        const std::uint64_t previousVersion = mirror_.version();
-        publishChanges(previousVersion, mirror_.replace(pages_, std::max<std::uint64_t>(pagesVersion_, 1)));
-        pages_.clear();
-        if (isLeading_)
-            startNextCall();
+        pagesState_.version = std::min(pagesState_.version, answer.version);
+        pages_.insert(pages_.end(), answer.rows.begin(), answer.rows.end());
+        if (answer.isTruncated && !answer.rows.empty())
+            readTable(answer.rows.back().key + '\0');
         else
-            scheduleNextCall(FOLLOWER_PAUSE_MS);
+            onTableRead();
     });
 }
 
+void TableWatcher::onTableRead()
+{
+    needsFullRead_ = false;
+    pagesState_.version = std::max<std::uint64_t>(pagesState_.version, 1);
+    const auto rows = std::move(pages_);
+    pages_.clear();
+    if (pagesState_.era > mirror_.era() && mirror_.isLoaded()) {
+        const auto changed = enterEra(rows, pagesState_);
+        if (!changed.empty())
+            hooks_.onChange(changed);
+        if (onStoreRestored)
+            onStoreRestored(changed.size());
+    } else if (!mirror_.isLoaded()) {
+        publishChanges(0, mirror_.restore(rows, pagesState_));
+    } else {
+        const std::uint64_t previousVersion = mirror_.version();
+        publishChanges(previousVersion, mirror_.replace(rows, pagesState_.version));
+    }
+    if (isLeading_)
+        startNextCall();
+    else
+        scheduleNextCall(FOLLOWER_PAUSE_MS);
+}
+
 void TableWatcher::watch()
 {
     calledAt_ = loop_.now();
-    store_.watch(table_, mirror_.version(), openWatchMs(), [this](const RowSet& answer) {
-        if (answer.outcome == ReadOutcome::HistoryCompacted) {
+    const StateVersion watched = mirror_.state();
+    store_.watch(table_, watched.version, openWatchMs(), [this, watched](const RowSet& answer) {
+        if (answer.outcome == ReadOutcome::HistoryCompacted)
             onGap();
-            return;
-        }
-        if (answer.outcome != ReadOutcome::Answered) {
+        else if (answer.outcome != ReadOutcome::Answered || isOutdated(answer))
             onFailed(answer);
-            return;
-        }
-        onAnswered();
-        gaps_ = 0;
-        const std::uint64_t previousVersion = mirror_.version();
-        publishChanges(previousVersion, mirror_.apply(answer.rows, answer.version));
-        const loop::TimeMs leaderPauseMs = answer.rows.empty() ? 0 : BATCH_MS;
-        scheduleNextCall(isLeading_ ? leaderPauseMs : FOLLOWER_PAUSE_MS);
+        else
+            onWatchAnswered(answer, watched);
     });
 }
 
+void TableWatcher::onWatchAnswered(const RowSet& answer, StateVersion watched)
+{
+    onAnswered();
+    // The version that was watched means another state in a new era, so that the answer may lack changes.
+    const std::uint64_t era = answer.era.value_or(mirror_.era());
+    if (era > mirror_.era()) {
+        onGap();
+        return;
+    }
+    gaps_ = 0;
+    if (era != watched.era) {
+        scheduleNextCall(0); // a peer's rows have moved the mirror to the new era meanwhile
+        return;
+    }
+    const std::uint64_t previousVersion = mirror_.version();
+    publishChanges(previousVersion, mirror_.apply(answer.rows, answer.version));
+    const loop::TimeMs leaderPauseMs = answer.rows.empty() ? 0 : BATCH_MS;
+    scheduleNextCall(isLeading_ ? leaderPauseMs : FOLLOWER_PAUSE_MS);
+}
+
+/// Returns whether an answer comes from an earlier era of the store than the mirror.
+bool TableWatcher::isOutdated(const RowSet& answer) const
+{
+    return answer.outcome == ReadOutcome::Answered && answer.era.value_or(mirror_.era()) < mirror_.era();
+}
+
+/// Takes over a complete table of a new era. Returns the rows that differ.
+std::vector<VersionedRow> TableWatcher::enterEra(const std::vector<VersionedRow>& rows, StateVersion state)
+{
+    if (onNewEra && mirror_.isLoaded())
+        onNewEra();
+    return mirror_.restore(rows, state);
+}
+
 /// Reads the complete table, at once the first time. The copy that answers may be behind the store's history for some
 /// seconds, so that the next watch shows a gap again.
 void TableWatcher::onGap()
@@ -166,7 +220,7 @@
         onNoAnswer(calledAt_);
     if (isAnswering_) {
         isAnswering_ = false;
-        hooks_.onAvailability(false, answer.reason);
+        hooks_.onAvailability(false, isOutdated(answer) ? "the store answered from an earlier era" : answer.reason);
     }
     scheduleNextCall(pauseAfter(failures_++));
 }
@@ -190,7 +244,7 @@
         return;
     hooks_.onChange(changed);
     if (onStoreChanges)
-        onStoreChanges(afterVersion, { false, mirror_.version(), changed });
+        onStoreChanges(afterVersion, { false, mirror_.version(), changed, mirror_.era() });
 }
 
 } // namespace goldcrestcleat::store
--- a/src/goldcrestcleat/store/TableWatcher.h
+++ b/src/goldcrestcleat/store/TableWatcher.h
@@ -7,7 +7,8 @@
 
 namespace goldcrestcleat::store {
 
-/// Keeps a mirror up to date; reads the complete table at first and when the store's history has a gap.
+/// Keeps a mirror up to date; reads the complete table at first, when the store's history has a gap and when the store
+/// begins a new era. Answers of an earlier era than the mirror's change nothing.
 ///
 /// A leading watcher always keeps a watch open. Only a few of the daemons lead and forward the changes; the others poll
 /// the store infrequently.
@@ -52,6 +53,13 @@
     /// Called with changes that were read from the store, and the version that they follow.
     std::function<void(std::uint64_t afterVersion, const RowChanges&)> onStoreChanges;
 
+    /// Called when the mirror changes to a new era of the store, before the rows that differ are passed on; may be
+    /// unset.
+    std::function<void()> onNewEra;
+
+    /// Called when the mirror has changed to a new era that this watcher read from the store; may be unset.
+    std::function<void(std::size_t changedRows)> onStoreRestored;
+
     /// Called when the store has answered, before the changes that the answer contains are applied; may be unset.
     std::function<void()> onAnswer;
 
@@ -62,7 +70,11 @@
     loop::TimeMs openWatchMs() const;
     void startNextCall();
     void readTable(const std::string& fromKey);
+    void onTableRead();
     void watch();
+    void onWatchAnswered(const RowSet& answer, StateVersion watched);
+    bool isOutdated(const RowSet& answer) const;
+    std::vector<VersionedRow> enterEra(const std::vector<VersionedRow>& rows, StateVersion state);
     void scheduleNextCall(loop::TimeMs pauseMs);
     void onGap();
     void onFailed(const RowSet& answer);
@@ -75,7 +87,7 @@
     Hooks hooks_;
     TableMirror mirror_;
     std::vector<VersionedRow> pages_; // read so far by a full read
-    std::uint64_t pagesVersion_ = 0;
+    StateVersion pagesState_; // of the first page
     bool needsFullRead_ = true;
     bool isAnswering_ = true;
     bool isLeading_ = true;
--- a/src/goldcrestcleat/upstreams/ServerRegistry.cpp
+++ b/src/goldcrestcleat/upstreams/ServerRegistry.cpp
@@ -24,12 +24,13 @@
 
 } // namespace
 
-bool ServerRegistry::put(const ServerEntry& entry, loop::TimeMs now)
+bool ServerRegistry::put(const ServerEntry& entry, loop::TimeMs now, bool isRestored)
 {
     const NodeKey key = routing::nodeKey(entry.id);
     Server& server = servers_[key];
     const bool isKnown = server.key != routing::NO_NODE;
     const bool isNewInstance = !isKnown || server.entry.instance() != entry.instance();
+    const bool isHeld = isRestored && isContradicted(entry, server);
     if (isNewInstance) {
         const int localOpen = server.localOpen;
         server = Server();
@@ -41,6 +42,7 @@
     server.coldUntil = entry.coldLeftMs > 0 ? now + entry.coldLeftMs : 0;
     if (server.removedAt || server.entry.isLeaving)
         server.connectFailures = 0; // the new entry is more recent evidence than the failed connections
+    server.isHeld = isHeld;
     server.key = key;
     server.entry = entry;
     server.removedAt.reset();
@@ -103,6 +105,8 @@
         server.removedAt = now;
         // The entry of a server that announced that it leaves was removed, it did not expire.
         server.mayHaveExpired = mayHaveExpired && !server.isLeaving();
+        if (!server.mayHaveExpired)
+            rememberRemoved(server.entry.instance());
     }
 }
 
@@ -110,13 +114,26 @@
 {
     std::vector<std::string> ids;
     for (auto& [key, server] : servers_) {
-        if (server.mayHaveExpired)
+        if (server.mayHaveExpired) {
             ids.push_back(server.entry.id);
+            rememberRemoved(server.entry.instance());
+        }
         server.mayHaveExpired = false;
     }
     return ids;
 }
 
+std::vector<std::string> ServerRegistry::releaseHeld()
+{
+    std::vector<std::string> ids;
+    for (auto& [key, server] : servers_) {
+        if (server.isHeld)
+            ids.push_back(server.entry.id);
+        server.isHeld = false;
+    }
+    return ids;
+}
+
 std::vector<const Server*> ServerRegistry::usable(const std::string& service, loop::TimeMs now) const
 {
     std::vector<const Server*> preferred;
@@ -124,7 +141,7 @@
     for (const auto& [key, server] : servers_) {
         const bool isGone = server.removedAt && !server.mayHaveExpired;
         if (server.entry.service != service || isGone || server.isLeaving() || server.backOffUntil > now
-            || isEvacuated(server))
+            || server.isHeld || isEvacuated(server))
             continue;
         (server.isAvoided(now) ? avoided : preferred).push_back(&server);
     }
@@ -228,6 +245,22 @@
     return std::find(leavingInstances_.begin(), leavingInstances_.end(), instance) != leavingInstances_.end();
 }
 
+void ServerRegistry::rememberRemoved(const ServerInstance& instance)
+{
+    removedInstances_.push_back(instance);
+    if (removedInstances_.size() > MAX_LEAVING_INSTANCES)
+        removedInstances_.pop_front();
+}
+
+/// Returns whether a restored entry may be older than the knowledge that its server leaves or was removed.
+bool ServerRegistry::isContradicted(const ServerEntry& entry, const Server& known) const
+{
+    const bool wasLeaving
+        = known.key != routing::NO_NODE && known.entry.instance() == entry.instance() && known.entry.isLeaving;
+    return wasLeaving
+        || std::find(removedInstances_.begin(), removedInstances_.end(), entry.instance()) != removedInstances_.end();
+}
+
 void ServerRegistry::purgeRemoved()
 {
     for (auto it = servers_.begin(); it != servers_.end();) {
--- a/src/goldcrestcleat/upstreams/ServerRegistry.h
+++ b/src/goldcrestcleat/upstreams/ServerRegistry.h
@@ -32,6 +32,7 @@
     bool mayHaveExpired = false; ///< its removed entry may have expired, so that the server stays in use
     bool hasAnnouncedLeaving = false; ///< stated in a response that it leaves
     loop::TimeMs backOffUntil = 0; ///< rejects requests of this daemon until this time
+    bool isHeld = false; ///< gets no requests, as its entry may be outdated
     loop::TimeMs coldUntil = 0; ///< as its entry states
     std::optional<loop::TimeMs> mayBeColdSince; ///< may have turned cold then without its entry stating it
 
@@ -53,7 +54,10 @@
     static constexpr loop::TimeMs HEALTH_HALF_LIFE_MS = 2'000;
 
     /// Adds or updates an entry. Returns true if a known server has been restarted.
-    bool put(const ServerEntry& entry, loop::TimeMs now);
+    ///
+    /// `isRestored` states that the entry may be older than what was known: a server that was known to leave or to be
+    /// removed is then held, and gets no requests until another entry or `releaseHeld`.
+    bool put(const ServerEntry& entry, loop::TimeMs now, bool isRestored = false);
 
     /// Records that an instance has announced in a response, to this daemon or a peer, that it leaves.
     ///
@@ -80,7 +84,7 @@
     const std::set<std::string>& evacuatedDataCentres() const { return evacuated_; }
     bool isEvacuated(const Server& server) const { return evacuated_.count(server.entry.dataCentre) > 0; }
 
-    /// Maximum number of leaving instances that are remembered; the oldest are forgotten first.
+    /// Maximum number of leaving and of removed instances that are remembered; the oldest are forgotten first.
     static constexpr std::size_t MAX_LEAVING_INSTANCES = 1'024;
 
     /// Removes a server immediately, for example because its entry has become invalid.
@@ -95,6 +99,9 @@
     /// Ends the use of the servers whose entries may have expired and did not return. Returns their ids.
     std::vector<std::string> giveUpExpired();
 
+    /// Uses the servers that are held, as their entries have lasted. Returns their ids.
+    std::vector<std::string> releaseHeld();
+
     /// Returns the servers of a service that may get new requests, in key order. Complexity: O(all servers).
     ///
     /// Servers that could not be reached are excluded until a connection succeeds, unless there are no others. Those of
@@ -126,6 +133,8 @@
     const std::map<routing::NodeKey, Server>& all() const { return servers_; }
 
 private:
+    void rememberRemoved(const ServerInstance& instance);
+    bool isContradicted(const ServerEntry& entry, const Server& known) const;
     void setPeerOpen(routing::NodeKey peer, routing::NodeKey server, int open);
     int openAtPeers(routing::NodeKey server) const;
     bool hasAnnouncedLeaving(const ServerInstance& instance) const;
@@ -136,6 +145,8 @@
 
     std::map<routing::NodeKey, Server> servers_;
     std::set<std::string> evacuated_; // data centres
+    std::deque<ServerInstance>
+        removedInstances_; // whose entries were removed and had not expired, the latest ones last
     std::deque<ServerInstance> leavingInstances_; // also those whose entries were removed, as they may be listed again
     std::unordered_map<routing::NodeKey, std::map<routing::NodeKey, int>> peerOpen_; // by peer, then by server
 };
--- a/src/goldcrestcleat/upstreams/ServerRegistryUpdater.h
+++ b/src/goldcrestcleat/upstreams/ServerRegistryUpdater.h
@@ -17,6 +17,7 @@
         /// Parses a row. Throws Error with ServerEntryInvalid.
         std::function<ServerEntry(const std::string& id, const std::string& text)> parse;
         std::function<bool()> mayHaveExpired; ///< returns whether missing entries may have expired and may return
+        std::function<bool()> mayBeRewritten; ///< returns whether entries that a restored store lacks may return
         std::function<loop::TimeMs()> storeUnansweredMs; ///< time without an answer of the store to any daemon
         std::function<void(routing::NodeKey server)> onRestarted; ///< a known server has been restarted
     };
@@ -29,15 +30,18 @@
 
 private:
     void apply(const store::VersionedRow& row);
-    void applyRemoved(const std::vector<std::string>& ids, std::uint64_t version);
+    void applyRemoved(const std::vector<std::string>& ids, std::uint64_t version, bool mayReturn);
     void scheduleSettling();
     void settleExpired();
+    void scheduleRelease();
+    void releaseHeld();
 
     loop::EventLoop& loop_;
     const observe::Log& log_;
     ServerRegistry& servers_;
     const Hooks hooks_;
     bool isSettling_ = false; // entries that may have expired are awaited
+    loop::EventLoop::TimerId releaseTimer_ = 0; // of the release of held servers
 };
 
 } // namespace goldcrestcleat::upstreams
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -182,3 +182,26 @@
     f.configure();
     cr_assert_eq(f.call().status, 503);
 }
+
+/// Guards against ending an evacuation because an older copy of the store lacks the request for it.
+Test(evacuation, a_request_that_a_restored_store_lacks_holds_until_it_can_no_longer_be_written_again, .timeout = 30)
+{
+    loop::TimeMs now = 1'000'000;
+    loop::EventLoop loop { [&] { return now; } };
+    loop.every(10, [] {});
+    const auto runFor = [&](loop::TimeMs ms) {
+        for (const loop::TimeMs until = now + ms; now < until; now += 10)
+            loop.runOnce();
+    };
+    const observe::Log log("vm1", "error");
+    ServerRegistry servers;
+    upstreams::EvacuationUpdater updater(loop, log, servers, "evacuate/");
+    updater.onRows({ { "evacuate/north", "", 5, false }, { "evacuate/south", "", 6, false } });
+    updater.onRows({ { "evacuate/north", "", 3, true, true }, { "evacuate/south", "", 3, true, true } });
+    cr_assert_eq(servers.evacuatedDataCentres().size(), 2);
+    updater.onRows({ { "evacuate/north", "", 4, false } });
+    runFor(10'000);
+    cr_assert((servers.evacuatedDataCentres() == std::set<std::string> { "north" }));
+    updater.onRows({ { "evacuate/north", "", 9, true } });
+    cr_assert(servers.evacuatedDataCentres().empty(), "a removed request ends the evacuation at once");
+}
--- a/tests/unit/fuzz_test.cpp
+++ b/tests/unit/fuzz_test.cpp
@@ -272,9 +272,10 @@
     std::vector<std::string> inputs;
     for (const PeerMessage& message : std::vector<PeerMessage> { Hello { "vm1", "00ff" }, Proof { "ab" },
              AcquireTicket { 1, 2, 3, 1.5, 2.5, 300, true, 4 }, DaemonState { true, false, 123, { 5, 6 } },
-             ServerLoads { { { 1, 2 }, { 3, 4 } }, false, true, true, { 7, 0 } }, MirrorRequest { "servers", 12 },
-             MirrorRows { "servers", 12, { false, 14, { { "a", "x", 13, false } } } }, UnreachableServers { { 7 } },
-             LeavingServers { { { 7, 1, "10.0.0.1:80" } } }, SlowServers { { { 7, 4.5 } } },
+             ServerLoads { { { 1, 2 }, { 3, 4 } }, false, true, true, { { 2, 7 }, { 0, 0 } } },
+             MirrorRequest { "servers", 12 }, MirrorRows { "servers", 12, { false, 14, { { "a", "x", 13, false } } } },
+             UnreachableServers { { 7 } }, LeavingServers { { { 7, 1, "10.0.0.1:80" } } },
+             SlowServers { { { 7, 4.5 } } },
              CrashReports { { { 1, 9, admission::RunStage::Begun, true, 20, "vm1", { 2, 3 } } } },
              SuspectAnswers { { { 2, 1 } } }, Verdicts { { { 2, 3, true, 4, 1, { "vm1" }, "vm1", 5, 2, 1, false } } },
              ConfigItems { { { "profile", "quick", 3, { { "priority", 1 } } } } } })
--- a/tests/unit/peer_messages_test.cpp
+++ b/tests/unit/peer_messages_test.cpp
@@ -27,9 +27,9 @@
             { { 1, 0xffffffffffffffffULL, admission::RunStage::Begun, true, 120, "vm1", { 3, 0xffffffffffffffffULL } },
                 { 2, 5, admission::RunStage::Running, false, 0, "vm2", {} } } },
         UpstreamStatus { { { 1, true, false, 7 } } },
-        ServerLoads { { { 1, 2 }, { 3, 0 } }, false, true, true, { 7, 0 } },
-        MirrorRequest { "servers", 12 },
-        MirrorRows { "servers", 12, { false, 14, { { "a", "x", 13, false }, { "b", "", 14, true } } } },
+        ServerLoads { { { 1, 2 }, { 3, 0 } }, false, true, true, { { 2, 7 }, { 0, 0 } } },
+        MirrorRequest { "servers", 12, 3 },
+        MirrorRows { "servers", 12, { false, 14, { { "a", "x", 13, false }, { "b", "", 14, true } }, 3 } },
         MirrorRows { "op", 0, { true, 9, { { "config", std::string(30'000, 'x') + "\xff\x01", 9, false } } } },
         SuspectAnswers { { { 1, 2 }, { 0xffffffffffffffffULL, 1 } } },
         Verdicts {
--- a/tests/unit/removal_search_test.cpp
+++ b/tests/unit/removal_search_test.cpp
@@ -5,15 +5,17 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <deque>
 #include <list>
 #include <set>
 
 using namespace goldcrestcleat;
 using loop::TimeMs;
 
-// Plays every short sequence of removals, outages of the store and cuts of daemons on a simulated clock, with the
-// daemons' real watchers, shared tables and registries. In each state, a server that was taken away must be out of use
-// in time, and one whose entry expired must stay in use.
+// Plays every short sequence of removals, registrations, outages of the store, returns of it from an older copy and
+// cuts of daemons on a simulated clock, with the daemons' real watchers, shared tables and registries. In each state, a
+// server that was taken away must be out of use in time and for good, and one whose entry expired or was lost with the
+// newest versions must stay in use.
 
 namespace {
 
@@ -26,6 +28,7 @@
 constexpr TimeMs EXPIRY_MS = 3 * RENEWAL_MS;
 constexpr TimeMs IN_TOUCH_MS = 3'000; // a daemon without trouble for so long is bound by the rule on removals
 constexpr TimeMs REMOVAL_BOUND_MS = 2'000; // from a removal until no request reaches the server
+constexpr TimeMs COPY_AGE_MS = 3'000; // of the copy from which the store returns
 constexpr TimeMs CONNECT_MS = 400; // between the choice of a server and the arrival of the request at most
 constexpr int DAEMONS = 4;
 constexpr const char* SERVICE = "s";
@@ -54,6 +57,28 @@
             rows_[id] = { id, "", ++version_, true };
     }
 
+    /// Returns from the state of some time ago. Open watches are cut, and versions are given out again.
+    void restore()
+    {
+        while (past_.size() > 1 && past_.back().at > loop_.now() - COPY_AGE_MS)
+            past_.pop_back();
+        rows_ = past_.back().rows;
+        version_ = past_.back().version;
+        ++era_;
+        std::list<Call> cut;
+        cut.swap(calls_);
+        for (auto& call : cut)
+            call.hook(failure(store::ReadOutcome::NoAnswer));
+    }
+
+    /// Keeps the current state for `restore`.
+    void remember()
+    {
+        past_.push_back({ loop_.now(), rows_, version_ });
+        if (past_.front().at < loop_.now() - 2 * COPY_AGE_MS)
+            past_.pop_front();
+    }
+
     bool reaches(int daemon) const { return !isDown && cutDaemons.count(daemon) == 0; }
 
     store::RowStore clientOf(int daemon)
@@ -78,7 +103,7 @@
         for (auto& call : open) {
             call.isConnected = call.isConnected && reaches(call.daemon);
             const TimeMs sinceMs = loop_.now() - call.startedAt;
-            if (call.isConnected && (!call.isWatch || version_ > call.afterVersion || sinceMs >= call.waitMs))
+            if (call.isConnected && (!call.isWatch || version_ != call.afterVersion || sinceMs >= call.waitMs))
                 call.hook(answerTo(call));
             else if (isDown && refuses)
                 call.hook(failure(store::ReadOutcome::Refused));
@@ -116,7 +141,9 @@
     store::RowSet answerTo(const Call& call) const
     {
         store::RowSet set;
-        set.outcome = store::ReadOutcome::Answered;
+        set.era = era_;
+        set.outcome = call.isWatch && call.afterVersion > version_ ? store::ReadOutcome::HistoryCompacted
+                                                                   : store::ReadOutcome::Answered;
         set.version = version_;
         for (const auto& [id, row] : rows_) {
             if (call.isWatch ? row.version > call.afterVersion : !row.isRemoved)
@@ -125,9 +152,17 @@
         return set;
     }
 
+    struct Past {
+        TimeMs at;
+        std::map<std::string, store::VersionedRow> rows;
+        std::uint64_t version;
+    };
+
     loop::EventLoop& loop_;
     std::map<std::string, store::VersionedRow> rows_;
     std::uint64_t version_ = 1;
+    std::uint64_t era_ = 1;
+    std::deque<Past> past_;
     std::list<Call> calls_;
 };
 
@@ -207,6 +242,7 @@
         for (const TimeMs until = now + ms; now < until;) {
             now += STEP_MS;
             renewEntries();
+            store.remember();
             loop.runOnce();
             store.step();
             if (now % TICK_MS == 0) {
@@ -218,6 +254,24 @@
         }
     }
 
+    /// The store returns from an older copy; what was written since is written again with the next renewals.
+    void restoreStore()
+    {
+        if (store.isDown)
+            return;
+        store.restore();
+        storeTroubleAt_ = renewedAt_ = now;
+    }
+
+    /// A further server starts.
+    void addServer()
+    {
+        if (store.isDown || addedAt_)
+            return;
+        store.put("z");
+        addedAt_ = now;
+    }
+
     void takeAway()
     {
         if (store.isDown || takenAwayAt)
@@ -239,8 +293,8 @@
     {
         if (store.isDown) {
             if (now - renewedAt_ >= EXPIRY_MS) {
-                store.remove("x");
-                store.remove("y");
+                for (const char* id : { "x", "y", "z" })
+                    store.remove(id);
             }
             return;
         }
@@ -248,7 +302,11 @@
             return;
         renewedAt_ = now;
         store.put("y");
-        if (!takenAwayAt)
+        if (addedAt_)
+            store.put("z");
+        if (takenAwayAt)
+            store.remove("x");
+        else
             store.put("x");
     }
 
@@ -269,7 +327,7 @@
         return isCalm && now - storeTroubleAt_ >= IN_TOUCH_MS;
     }
 
-    void check() const
+    void check()
     {
         if (now < checkedFrom_)
             return;
@@ -277,6 +335,10 @@
             const Daemon& daemon = *daemons_[static_cast<std::size_t>(i)];
             const bool usesX = daemon.uses("x", now);
             cr_assert(daemon.uses("y", now), "%s: daemon %d gave up a server that runs", path.c_str(), i);
+            checkAdded(i);
+            if (takenAwayAt && !usesX)
+                left_.insert(i);
+            cr_assert(!usesX || left_.count(i) == 0, "%s: daemon %d uses a removed server again", path.c_str(), i);
             if (!takenAwayAt)
                 cr_assert(usesX, "%s: daemon %d gave up a server that runs", path.c_str(), i);
             else if (now - *takenAwayAt >= REMOVAL_BOUND_MS - CONNECT_MS && isInTouch(i))
@@ -285,7 +347,21 @@
         }
     }
 
+    /// A server that has started must be in use in time, and from then on.
+    void checkAdded(int index)
+    {
+        const bool isUsed = daemons_[static_cast<std::size_t>(index)]->uses("z", now);
+        const bool isDue = addedAt_ && now - *addedAt_ >= REMOVAL_BOUND_MS && isInTouch(index);
+        cr_assert(isUsed || !(isDue || usesAdded_.count(index)), "%s: daemon %d does not use a server that runs",
+            path.c_str(), index);
+        if (isUsed)
+            usesAdded_.insert(index);
+    }
+
     std::vector<std::unique_ptr<Daemon>> daemons_;
+    std::optional<TimeMs> addedAt_; // when `z` started
+    std::set<int> usesAdded_; // daemons that have used `z`
+    std::set<int> left_; // daemons that have ceased to use `x` after its removal
     TimeMs renewedAt_ = 0;
     TimeMs storeTroubleAt_ = 0;
     std::map<int, TimeMs> troubleAt_; // by daemon
@@ -314,8 +390,8 @@
                entry.address = "10.0.0.1:80";
                return entry;
            },
-              [this] { return tables.mayHaveExpired(); }, [this] { return tables.unansweredMs(); },
-              [](routing::NodeKey) {} })
+              [this] { return tables.mayHaveExpired(); }, [this] { return tables.mayBeRewritten(); },
+              [this] { return tables.unansweredMs(); }, [](routing::NodeKey) {} })
 {
     tables.add(watcher_);
 }
@@ -373,6 +449,8 @@
 {
     static const std::vector<Event> all = {
         { "removal", [](Fleet& f) { f.takeAway(); } },
+        { "registration", [](Fleet& f) { f.addServer(); } },
+        { "return from an older copy", [](Fleet& f) { f.restoreStore(); } },
         { "leader loses the store", [](Fleet& f) { f.store.cutDaemons.insert(0); } },
         { "both leaders lose the store",
             [](Fleet& f) {
@@ -402,7 +480,7 @@
 }
 
 constexpr TimeMs WARM_UP_MS = 3'000;
-constexpr TimeMs PAUSES_MS[] = { 200, 4'500 };
+constexpr TimeMs PAUSES_MS[] = { 0, 200, 4'500 };
 constexpr TimeMs END_MS = 5'000; // after the end of all trouble
 
 /// Plays the events of a sequence, each with the pause that follows it.
--- a/tests/unit/shared_tables_test.cpp
+++ b/tests/unit/shared_tables_test.cpp
@@ -55,7 +55,7 @@
         loads.storeAnswers = storeAnswers;
         loads.isWatchOverdue = isWatchOverdue;
         loads.isWatchAnswered = isWatchAnswered;
-        loads.newestRows = { newestRow };
+        loads.newestRows = { { 0, newestRow } };
         tables.onPeerReport(peer, loads);
     }
 
--- a/tests/unit/table_watcher_test.cpp
+++ b/tests/unit/table_watcher_test.cpp
@@ -87,3 +87,67 @@
     cr_assert_eq(f.watcher.mirror().version(), 12, "an older copy changes nothing");
     f.run({ { 300, [&] { cr_assert_eq(f.store.take().afterVersion, 12); } } });
 }
+
+namespace {
+
+RowSet inEra(std::uint64_t era, RowSet set)
+{
+    set.era = era;
+    return set;
+}
+
+} // namespace
+
+/// Guards against applying the changes after a version that means another state since the store was restored.
+Test(table_watcher, a_watch_that_is_answered_in_a_new_era_is_followed_by_a_full_read)
+{
+    Fixture f;
+    f.watcher.start();
+    f.store.take().answer(inEra(1, answered({ { "a", "new", 9, false }, { "b", "x", 4, false } }, 10)));
+    f.store.take().answer(inEra(2, answered({ { "c", "y", 12, false } }, 12)));
+    cr_assert_eq(f.changed.size(), 2, "rows of the watch must not be applied");
+    f.store.take().answer(inEra(2, answered({ { "a", "old", 3, false }, { "c", "y", 12, false } }, 12)));
+    cr_assert((f.watcher.mirror().state() == StateVersion { 2, 12 }));
+    const std::vector<VersionedRow> expected
+        = { { "a", "old", 3, false, true }, { "c", "y", 12, false, true }, { "b", "", 12, true, true } };
+    cr_assert((std::vector<VersionedRow>(f.changed.begin() + 2, f.changed.end()) == expected));
+    f.store.take().answer(inEra(2, answered({ { "a", "old", 13, false } }, 13)));
+    cr_assert((f.changed.back() == VersionedRow { "a", "old", 13, false }), "it was written again");
+}
+
+Test(table_watcher, a_late_answer_of_an_earlier_era_changes_nothing)
+{
+    Fixture f;
+    f.watcher.start();
+    f.store.take().answer(inEra(1, answered({ { "a", "1", 9, false } }, 10)));
+    f.watcher.applyFromPeer({ false, 12, { { "a", "3", 12, false } }, 2 });
+    cr_assert_eq(f.watcher.mirror().era(), 1, "a change of another era is based on rows that are not known");
+    f.watcher.applyFromPeer({ true, 5, { { "a", "2", 4, false } }, 2 });
+    cr_assert((f.watcher.mirror().state() == StateVersion { 2, 5 }));
+    f.store.take().answer(inEra(1, answered({ { "a", "late", 11, false } }, 11)));
+    cr_assert(f.watcher.mirror().rows().at("a").value == "2");
+    cr_assert_eq(f.watcher.applyFromPeer({ true, 50, { { "a", "late", 50, false } }, 1 }), 0);
+    cr_assert((f.watcher.mirror().state() == StateVersion { 2, 5 }));
+}
+
+Test(table_watcher, a_table_whose_pages_are_of_two_eras_is_read_again)
+{
+    Fixture f;
+    f.watcher.start();
+    f.store.take().answer(inEra(1, answered({ { "a", "1", 3, false } }, 10, true)));
+    f.store.take().answer(inEra(2, answered({ { "b", "1", 4, false } }, 6)));
+    cr_assert(f.changed.empty());
+    f.store.take().answer(inEra(2, answered({ { "a", "2", 2, false } }, 6)));
+    cr_assert_eq(f.changed.size(), 1);
+    cr_assert((f.watcher.mirror().state() == StateVersion { 2, 6 }));
+}
+
+Test(table_watcher, answers_that_state_no_era_belong_to_the_known_one)
+{
+    Fixture f;
+    f.watcher.start();
+    f.store.take().answer(inEra(3, answered({ { "a", "1", 3, false } }, 10)));
+    f.store.take().answer(answered({ { "a", "2", 11, false } }, 11));
+    cr_assert((f.watcher.mirror().state() == StateVersion { 3, 11 }));
+    cr_assert_eq(f.changed.size(), 2);
+}
--- a/tools/check-wire-names.sh
+++ b/tools/check-wire-names.sh
@@ -3,7 +3,7 @@
 # implement the protocol too and may use them.
 set -euo pipefail
 names='Server-Seal|Not-Executed|Prompt-Prefix|Kv-|Expect-Instance|rows-(tx|get|feed|parts)|Token-Usage|Server-Load|Api-Key'
-names+='|Request-Deadline|Request-Priority'
+names+='|Request-Deadline|Request-Priority|Store-Era'
 fields='apiKeys|timeoutMs|goalMs|gapTargetMs|coldLeftMs|afterRev|expectRev|noAuth|born|resumable|sticky'
 if git grep -nE "($names)|\"($fields)\"" -- 'src/*.cpp' 'src/*.h'; then
     echo "names of the users' platform outside platform/" >&2
