Read a table once more after a gap, and take what an earlier read lacked

What callers would see: a change that is acknowledged while the store drops its history, and that no daemon acts by until the row changes again.

Cause: one complete read after a gap was trusted. If it comes from a copy that is some seconds behind but states the newest version, the changes in between are never asked for. A later complete read could not repair it either: rows that are not newer than the mirror's version were taken for removed ones, and peers counted the version as known. Same class as the era: a stated version was trusted to stand for all rows up to it.

Change: 4 s after a read that followed a gap the table is read once more. A complete table that is not older than the mirror adds rows whatever their versions. Rows that were missed are broadcast as a complete table, and a complete table of equal version is applied.

--- a/src/goldcrestcleat/fleet/SharedTables.cpp
+++ b/src/goldcrestcleat/fleet/SharedTables.cpp
@@ -200,6 +200,12 @@
     reportRows(tables_.at(table), changes.rows.size(), routing::NO_NODE);
     if (afterVersion == 0)
         return;
+    const bool wereMissed = std::any_of(changes.rows.begin(), changes.rows.end(),
+        [afterVersion](const auto& row) { return !row.isRemoved && row.version <= afterVersion; });
+    if (wereMissed) { // the peers lack them too, but count their versions as known
+        hooks_.broadcast(MirrorRows { table, 0, tables_.at(table).watcher->mirror().changesAfter(0) });
+        return;
+    }
     std::size_t bytes = 0;
     for (const auto& row : changes.rows)
         bytes += row.key.size() + row.value.size();
--- a/src/goldcrestcleat/store/TableMirror.cpp
+++ b/src/goldcrestcleat/store/TableMirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <set>
 
 namespace goldcrestcleat::store {
@@ -30,9 +31,13 @@
         if (!row.isRemoved && row.version <= version && present.count(key) == 0)
             all.push_back({ key, "", version, true });
     }
-    if (version_ == 0)
-        completeSince_ = version;
-    return apply(all, version);
+    const bool isNewest = version >= version_;
+    if (isNewest)
+        version_ = 0; // rows that an earlier read lacked are new, whatever their versions
+    const auto changed = apply(all, version);
+    if (isNewest)
+        dropTombstones();
+    return changed;
 }
 
 std::vector<VersionedRow> TableMirror::restore(const std::vector<VersionedRow>& rows, StateVersion state)
@@ -107,6 +112,17 @@
     changed.erase(std::remove_if(changed.begin(), changed.end(), isSuperseded), changed.end());
 }
 
+/// Drops the tombstones that a complete table makes needless: an unknown row that is not newer than it was removed.
+void TableMirror::dropTombstones()
+{
+    for (auto it = rows_.begin(); it != rows_.end();) {
+        const bool isNeedless = it->second.isRemoved && it->second.version <= version_;
+        tombstones_ -= isNeedless ? 1 : 0;
+        it = isNeedless ? rows_.erase(it) : std::next(it);
+    }
+    completeSince_ = version_;
+}
+
 void TableMirror::dropOldTombstones()
 {
     while (tombstones_ > MAX_TOMBSTONES) {
--- a/src/goldcrestcleat/store/TableMirror.h
+++ b/src/goldcrestcleat/store/TableMirror.h
@@ -30,6 +30,9 @@
     std::vector<VersionedRow> apply(const std::vector<VersionedRow>& rows, std::uint64_t version);
 
     /// Applies a complete table as of a version; known rows that it lacks and that are not newer are removed.
+    ///
+    /// If it is not older than the mirror, rows that were not known are added even if their versions are: an earlier
+    /// table may have been read from a copy that was behind.
     std::vector<VersionedRow> replace(const std::vector<VersionedRow>& rows, std::uint64_t version);
 
     /// Replaces all rows by those of a complete table in another era of the store, or in the first one that is known.
@@ -60,6 +63,7 @@
 private:
     bool put(const VersionedRow& row);
     void dropSuperseded(std::vector<VersionedRow>& changed) const;
+    void dropTombstones();
     void dropOldTombstones();
 
     std::map<std::string, VersionedRow> rows_; // including tombstones
--- a/src/goldcrestcleat/store/TableWatcher.cpp
+++ b/src/goldcrestcleat/store/TableWatcher.cpp
@@ -19,6 +19,10 @@
     // shortest permitted delay of a change.
     constexpr loop::TimeMs BATCH_MS = 200;
 
+    // Time after which a complete read is repeated if it followed a gap of the history: the copy that answered may have
+    // been some seconds behind although it stated the newest version.
+    constexpr loop::TimeMs CONFIRM_MS = 4'000;
+
     // Pause after the first failed call, doubled up to the longest one. Expired entries reappear within 2 s of the
     // store's recovery, and the pauses are the uncertainty about its time.
     constexpr loop::TimeMs FIRST_PAUSE_MS = 100;
@@ -62,7 +66,8 @@
 std::size_t TableWatcher::applyFromPeer(const RowChanges& changes)
 {
     const StateVersion state { changes.era, changes.version };
-    if (state <= mirror_.state() || (state.era > mirror_.era() && !changes.isComplete))
+    const bool isNews = mirror_.state() < state || (mirror_.state() == state && changes.isComplete);
+    if (!isNews || (state.era > mirror_.era() && !changes.isComplete))
         return 0;
     std::vector<VersionedRow> changed;
     if (state.era > mirror_.era())
@@ -96,7 +101,7 @@
 void TableWatcher::startNextCall()
 {
     timer_ = 0;
-    if (needsFullRead_) {
+    if (needsFullRead_ || (confirmReadAt_ != 0 && loop_.now() >= confirmReadAt_)) {
         pages_.clear();
         readTable("");
     } else {
@@ -132,6 +137,7 @@
 
 void TableWatcher::onTableRead()
 {
+    confirmReadAt_ = needsFullRead_ && mirror_.isLoaded() ? loop_.now() + CONFIRM_MS : 0;
     needsFullRead_ = false;
     pagesState_.version = std::max<std::uint64_t>(pagesState_.version, 1);
     const auto rows = std::move(pages_);
@@ -151,7 +157,7 @@
     if (isLeading_)
         startNextCall();
     else
-        scheduleNextCall(FOLLOWER_PAUSE_MS);
+        scheduleNextCall(confirmReadAt_ != 0 ? CONFIRM_MS : FOLLOWER_PAUSE_MS);
 }
 
 void TableWatcher::watch()
--- a/src/goldcrestcleat/store/TableWatcher.h
+++ b/src/goldcrestcleat/store/TableWatcher.h
@@ -89,6 +89,7 @@
     std::vector<VersionedRow> pages_; // read so far by a full read
     StateVersion pagesState_; // of the first page
     bool needsFullRead_ = true;
+    loop::TimeMs confirmReadAt_ = 0; // when the table is read once more; 0 if it is not
     bool isAnswering_ = true;
     bool isLeading_ = true;
     bool isConfirming_ = false; // began to lead, and the store has not answered it since
--- a/tests/unit/shared_tables_test.cpp
+++ b/tests/unit/shared_tables_test.cpp
@@ -327,3 +327,48 @@
     cr_assert_eq(f.eventsOf("table-caught-up").size(), 1);
     cr_assert_eq(f.tables.status().front().behindMs, 0);
 }
+
+Test(shared_tables, rows_that_were_missed_are_broadcast_as_a_complete_table)
+{
+    Fixture f;
+    f.readTable();
+    f.store.take().answer(failed(ReadOutcome::HistoryCompacted));
+    f.store.take().answer(answered({ { "a", "1", 3, false } }, 30)); // a copy behind
+    for (int i = 0; i < 50 && f.broadcasts.empty(); ++i) {
+        f.runFor(100);
+        if (f.store.calls.empty())
+            continue;
+        const auto call = f.store.take();
+        call.answer(call.isWatch ? answered({}, 30) : answered({ { "a", "2", 20, false } }, 30));
+    }
+    cr_assert_eq(f.broadcasts.size(), 1);
+    const auto& rows = std::get<MirrorRows>(f.broadcasts.front());
+    cr_assert(rows.changes.isComplete && rows.changes.version == 30 && rows.changes.rows.front().value == "2");
+    Fixture peer;
+    peer.readTable();
+    peer.store.take().answer(answered({}, 30));
+    peer.tables.onRows(FIRST, rows);
+    cr_assert(peer.watcher.mirror().rows().at("a").value == "2");
+}
+
+Test(shared_tables, a_daemon_that_learns_of_a_new_era_requests_the_complete_table)
+{
+    Fixture f;
+    f.readTable();
+    ServerLoads loads;
+    loads.newestRows = { { 2, 4 } };
+    f.tables.onPeerReport(FIRST, loads);
+    cr_assert_eq(f.sent.size(), 1, "its rows are not broadcast");
+    cr_assert((std::get<MirrorRequest>(f.sent.front().second).afterVersion == 10));
+    f.tables.onRows(FIRST, MirrorRows { "t", 4, { false, 5, { { "a", "x", 5, false } }, 2 } });
+    cr_assert_eq(f.watcher.mirror().era(), 0, "changes of another era say nothing about the rows before");
+    f.tables.onRows(FIRST, MirrorRows { "t", 0, { true, 5, { { "a", "2", 4, false } }, 2 } });
+    cr_assert((f.watcher.mirror().state() == StateVersion { 2, 5 }));
+    f.tables.onRequest(LAST, { "t", 10, 1 });
+    cr_assert(std::get<MirrorRows>(f.sent.back().second).changes.isComplete, "its version is of an earlier era");
+    const std::size_t answers = f.sent.size();
+    f.tables.onRequest(LAST, { "t", 1, 3 });
+    cr_assert_eq(f.sent.size(), answers, "a daemon of a later era needs no rows of this one");
+    f.tables.onRows(LAST, MirrorRows { "t", 0, { true, 90, { { "a", "old", 90, false } }, 1 } });
+    cr_assert((f.watcher.mirror().state() == StateVersion { 2, 5 }));
+}
--- a/tests/unit/table_mirror_test.cpp
+++ b/tests/unit/table_mirror_test.cpp
@@ -137,3 +137,17 @@
     cr_assert_eq(liveRows(mirror).count("a"), 0);
     cr_assert_eq(mirror.apply({ row("a", "back", 6) }, 6).size(), 1, "a newer row must be applied");
 }
+
+/// Guards against ignoring, for good, rows that an earlier complete table lacked because it came from a copy behind.
+Test(table_mirror, a_complete_table_that_is_not_older_adds_rows_that_an_earlier_one_lacked)
+{
+    TableMirror mirror;
+    mirror.replace({ row("a", "x", 3), row("b", "x", 4) }, 5);
+    mirror.replace({ row("a", "x", 3) }, 10);
+    cr_assert_eq(liveRows(mirror).count("b"), 0);
+    const auto changed = mirror.replace({ row("a", "y", 8), row("b", "x", 4), row("c", "x", 9) }, 10);
+    cr_assert_eq(changed.size(), 3);
+    const std::vector<VersionedRow> older = { row("a", "y", 8), row("b", "x", 4), row("c", "x", 9), row("d", "x", 2) };
+    cr_assert(mirror.replace(older, 9).empty(), "an older table adds nothing");
+    cr_assert(mirror.changesAfter(7).isComplete, "what was added may be older than what a peer knows");
+}
