Request the changes behind the limit of a watch's answer

What callers would see: a change that no daemon acts by, after more than 500 changes of a table between two calls.

Cause: the answer to a watch was taken for complete, whether or not it says that it was cut at the limit of rows or bytes, and the next watch went on after the newest version that it states. Same class as the gap: a stated version was trusted to stand for all rows up to it.

Evidence: table_watcher::changes_behind_the_limit_of_an_answer_are_requested failed before.

Change: after a cut answer the watch goes on before the last row's version; if that version alone does not fit, the table is read as a whole.

--- a/src/goldcrestcleat/store/TableWatcher.cpp
+++ b/src/goldcrestcleat/store/TableWatcher.cpp
@@ -183,13 +183,21 @@
         onGap();
         return;
     }
-    gaps_ = 0;
     if (era != watched.era) {
         scheduleNextCall(0); // a peer's rows have moved the mirror to the new era meanwhile
         return;
     }
+    std::uint64_t version = answer.version;
+    if (answer.isTruncated && !answer.rows.empty()) {
+        version = std::min(version, answer.rows.back().version - 1); // more rows of the last version may follow
+        if (version <= watched.version) {
+            onGap();
+            return;
+        }
+    }
+    gaps_ = 0;
     const std::uint64_t previousVersion = mirror_.version();
-    publishChanges(previousVersion, mirror_.apply(answer.rows, answer.version));
+    publishChanges(previousVersion, mirror_.apply(answer.rows, version));
     const loop::TimeMs leaderPauseMs = answer.rows.empty() ? 0 : BATCH_MS;
     scheduleNextCall(isLeading_ ? leaderPauseMs : FOLLOWER_PAUSE_MS);
 }
--- a/tests/unit/table_watcher_test.cpp
+++ b/tests/unit/table_watcher_test.cpp
@@ -151,3 +151,20 @@
     cr_assert((f.watcher.mirror().state() == StateVersion { 3, 11 }));
     cr_assert_eq(f.changed.size(), 2);
 }
+
+/// Guards against losing the changes behind the limit of an answer that states the newest version.
+Test(table_watcher, changes_behind_the_limit_of_an_answer_are_requested)
+{
+    Fixture f;
+    f.watcher.start();
+    f.store.take().answer(answered({ { "a", "1", 3, false } }, 10));
+    f.store.take().answer(answered({ { "a", "2", 11, false }, { "b", "1", 12, false } }, 40, true));
+    f.run({ { 300,
+                [&] {
+                    const auto next = f.store.take();
+                    cr_assert_eq(next.afterVersion, 11, "other rows of the last version may follow");
+                    next.answer(answered({ { "b", "1", 12, false }, { "c", "1", 12, false } }, 40, true));
+                } },
+        { 300, [&] { cr_assert_not(f.store.take().isWatch, "one version that does not fit needs a full read"); } } });
+    cr_assert_eq(f.changed.size(), 3);
+}
