Do not hold a server that was removed and is back

What callers would see: after the store has returned from an older copy, a server that runs gets nothing for 5 s because its entry was once missing. Found when the change was read again. Removed instances were remembered for good; they are now forgotten when their entry is back. server_feed::a_server_that_was_removed_and_is_back_is_not_held failed before and passes now.

Log lines that have no source no longer name the store as theirs.

--- a/src/goldcrestcleat/fleet/Membership.cpp
+++ b/src/goldcrestcleat/fleet/Membership.cpp
@@ -76,8 +76,8 @@
               [this](const PeerMessage& message) { links_.broadcast(message); },
               [this] { links_.broadcast(currentLoads()); }, [this] { return connectedPeers(); },
               [this](const std::string& event, json fields, NodeKey source) {
-                  const auto* peer = links_.find(source);
-                  fields["source"] = peer ? peer->vm.id : "store";
+                  if (const auto* peer = links_.find(source))
+                      fields["source"] = peer->vm.id;
                   log_.infoRateLimited(event, std::move(fields));
               } })
     , verdictRows_(store, log)
--- a/src/goldcrestcleat/fleet/SharedTables.cpp
+++ b/src/goldcrestcleat/fleet/SharedTables.cpp
@@ -149,19 +149,20 @@
 
 // ---- private ----
 
-void SharedTables::report(const std::string& event, nlohmann::json fields, NodeKey peer) const
+void SharedTables::report(const std::string& event, nlohmann::json fields, NodeKey source) const
 {
     if (hooks_.onEvent)
-        hooks_.onEvent(event, std::move(fields), peer);
+        hooks_.onEvent(event, std::move(fields), source);
 }
 
-void SharedTables::reportRows(const SharedTable& shared, std::size_t rows, NodeKey peer) const
+void SharedTables::reportRows(const SharedTable& shared, std::size_t rows, NodeKey source) const
 {
     const auto& mirror = shared.watcher->mirror();
     report("table-rows",
-        { { "table", shared.watcher->table() }, { "rows", rows }, { "version", mirror.version() },
-            { "era", mirror.era() }, { "newestRow", mirror.newestRow() }, { "leading", isLeading_ } },
-        peer);
+        { { "table", shared.watcher->table() }, { "source", "store" }, { "rows", rows },
+            { "version", mirror.version() }, { "era", mirror.era() }, { "newestRow", mirror.newestRow() },
+            { "leading", isLeading_ } },
+        source);
 }
 
 void SharedTables::setLeading(bool isLeading, std::size_t leadersBefore)
--- a/src/goldcrestcleat/fleet/SharedTables.h
+++ b/src/goldcrestcleat/fleet/SharedTables.h
@@ -34,8 +34,8 @@
         std::function<void()> sendLoads; ///< sends a load message to all peers now
         std::function<std::vector<routing::NodeKey>()> peersUp; ///< returns the peers whose links are up
 
-        /// Receives what changes here, for the log, with the peer that it came from or NO_NODE; may be unset.
-        std::function<void(const std::string& event, nlohmann::json fields, routing::NodeKey peer)> onEvent {};
+        /// Receives what changes here, for the log, with the peer that is its source or NO_NODE; may be unset.
+        std::function<void(const std::string& event, nlohmann::json fields, routing::NodeKey source)> onEvent {};
     };
 
     /// How current this daemon's copy of a table is.
@@ -112,8 +112,8 @@
     void observeStore();
     void forwardChanges(const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes);
     void setLeading(bool isLeading, std::size_t leadersBefore);
-    void reportRows(const SharedTable& shared, std::size_t rows, routing::NodeKey peer) const;
-    void report(const std::string& event, nlohmann::json fields, routing::NodeKey peer = routing::NO_NODE) const;
+    void reportRows(const SharedTable& shared, std::size_t rows, routing::NodeKey source) const;
+    void report(const std::string& event, nlohmann::json fields, routing::NodeKey source = routing::NO_NODE) const;
     void onStoreRestored(const SharedTable& shared, std::size_t changedRows);
     void catchUp(routing::NodeKey peer, SharedTable& shared, store::StateVersion newestRow);
 
--- a/src/goldcrestcleat/store/TableMirror.cpp
+++ b/src/goldcrestcleat/store/TableMirror.cpp
@@ -34,7 +34,7 @@
     const bool isNewest = version >= version_;
     if (isNewest)
         version_ = 0; // rows that an earlier read lacked are new, whatever their versions
-    const auto changed = apply(all, version);
+    auto changed = apply(all, version);
     if (isNewest)
         dropTombstones();
     return changed;
--- a/src/goldcrestcleat/upstreams/ServerRegistry.cpp
+++ b/src/goldcrestcleat/upstreams/ServerRegistry.cpp
@@ -43,6 +43,8 @@
     if (server.removedAt || server.entry.isLeaving)
         server.connectFailures = 0; // the new entry is more recent evidence than the failed connections
     server.isHeld = isHeld;
+    if (!isRestored)
+        forgetRemoved(entry.instance());
     server.key = key;
     server.entry = entry;
     server.removedAt.reset();
@@ -252,6 +254,12 @@
         removedInstances_.pop_front();
 }
 
+void ServerRegistry::forgetRemoved(const ServerInstance& instance)
+{
+    removedInstances_.erase(
+        std::remove(removedInstances_.begin(), removedInstances_.end(), instance), removedInstances_.end());
+}
+
 /// Returns whether a restored entry may be older than the knowledge that its server leaves or was removed.
 bool ServerRegistry::isContradicted(const ServerEntry& entry, const Server& known) const
 {
--- a/src/goldcrestcleat/upstreams/ServerRegistry.h
+++ b/src/goldcrestcleat/upstreams/ServerRegistry.h
@@ -134,6 +134,7 @@
 
 private:
     void rememberRemoved(const ServerInstance& instance);
+    void forgetRemoved(const ServerInstance& instance);
     bool isContradicted(const ServerEntry& entry, const Server& known) const;
     void setPeerOpen(routing::NodeKey peer, routing::NodeKey server, int open);
     int openAtPeers(routing::NodeKey server) const;
@@ -145,8 +146,7 @@
 
     std::map<routing::NodeKey, Server> servers_;
     std::set<std::string> evacuated_; // data centres
-    std::deque<ServerInstance>
-        removedInstances_; // whose entries were removed and had not expired, the latest ones last
+    std::deque<ServerInstance> removedInstances_; // whose entries were removed and are not back, the latest ones last
     std::deque<ServerInstance> leavingInstances_; // also those whose entries were removed, as they may be listed again
     std::unordered_map<routing::NodeKey, std::map<routing::NodeKey, int>> peerOpen_; // by peer, then by server
 };
--- a/tests/unit/server_feed_test.cpp
+++ b/tests/unit/server_feed_test.cpp
@@ -122,3 +122,14 @@
     while (f.usableCount() == 0)
         f.loop.runOnce();
 }
+
+/// Guards against holding a server that runs because its entry was missing at some time before.
+Test(server_feed, a_server_that_was_removed_and_is_back_is_not_held)
+{
+    Fixture f;
+    f.feed.onRows({ { "a", "10.0.0.1:1", 1, false } }, 1);
+    f.feed.onRows({ { "a", "", 2, true } }, 2);
+    f.feed.onRows({ { "a", "10.0.0.1:1", 3, false } }, 3);
+    f.feed.onRows({ { "a", "10.0.0.1:1", 1, false, true } }, 1);
+    cr_assert_eq(f.usableCount(), 1);
+}
