Return a change that is written twice within one answer of the store

What callers saw: a new route that some daemons never serve, and requests at a server that had said it leaves, from two or three of five daemons. This fits the record closely: each leaver was reached from two daemons, others in each case.

Cause: TableMirror::apply collected each row that changed and dropped those that a later row of the answer supersedes. A change that is followed by the same content under a newer version was dropped as superseded, and the later row was not collected, as it changes nothing. The daemons that read such an answer from the store, the leaders, never applied it; followers, which ask for the newest rows, did. The mirror itself held the right row, so that nothing asked for it again. Writers repeat themselves whenever a reply is lost, and after a return from an older copy; while the leaders' calls are cut, all that is written comes in one answer. Class: rows were compared by identity where the question is whether a key has changed.

Change: apply collects the keys that changed, and returns their current rows in the order of their versions.

--- a/src/goldcrestcleat/store/TableMirror.cpp
+++ b/src/goldcrestcleat/store/TableMirror.cpp
@@ -9,13 +9,13 @@
 
 std::vector<VersionedRow> TableMirror::apply(const std::vector<VersionedRow>& rows, std::uint64_t version)
 {
-    std::vector<VersionedRow> changed;
+    std::set<std::string> changedKeys;
     for (const auto& row : rows) {
         if (put(row))
-            changed.push_back(row);
+            changedKeys.insert(row.key);
     }
     version_ = std::max(version_, version);
-    dropSuperseded(changed);
+    auto changed = currentRows(changedKeys);
     dropOldTombstones();
     assert(completeSince_ <= version_);
     return changed;
@@ -105,11 +105,14 @@
     return changes;
 }
 
-/// Drops changes that a later change of the same row supersedes.
-void TableMirror::dropSuperseded(std::vector<VersionedRow>& changed) const
+/// Returns the current rows of some keys, in the order of their versions.
+std::vector<VersionedRow> TableMirror::currentRows(const std::set<std::string>& keys) const
 {
-    const auto isSuperseded = [this](const VersionedRow& row) { return !(rows_.at(row.key) == row); };
-    changed.erase(std::remove_if(changed.begin(), changed.end(), isSuperseded), changed.end());
+    std::vector<VersionedRow> rows;
+    for (const auto& key : keys)
+        rows.push_back(rows_.at(key));
+    std::stable_sort(rows.begin(), rows.end(), [](const auto& a, const auto& b) { return a.version < b.version; });
+    return rows;
 }
 
 /// Drops the tombstones that a complete table makes needless: an unknown row that is not newer than it was removed.
--- a/src/goldcrestcleat/store/TableMirror.h
+++ b/src/goldcrestcleat/store/TableMirror.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,7 +63,7 @@
 
 private:
     bool put(const VersionedRow& row);
-    void dropSuperseded(std::vector<VersionedRow>& changed) const;
+    std::vector<VersionedRow> currentRows(const std::set<std::string>& keys) const;
     void dropTombstones();
     void dropOldTombstones();
 
--- a/tests/unit/table_mirror_test.cpp
+++ b/tests/unit/table_mirror_test.cpp
@@ -151,3 +151,15 @@
     cr_assert(mirror.replace(older, 9).empty(), "an older table adds nothing");
     cr_assert(mirror.changesAfter(7).isComplete, "what was added may be older than what a peer knows");
 }
+
+/// Guards against losing a change that is written twice within one answer: the first row was dropped as superseded, and
+/// the second as unchanged.
+Test(table_mirror, a_change_that_is_written_again_within_one_answer_is_returned)
+{
+    TableMirror mirror;
+    mirror.replace({ row("a", "x", 3) }, 5);
+    const auto changed
+        = mirror.apply({ row("a", "y", 6), row("b", "new", 7), row("a", "y", 8), row("b", "new", 9) }, 9);
+    cr_assert_eq(changed.size(), 2);
+    cr_assert((changed[0] == row("a", "y", 8)) && (changed[1] == row("b", "new", 9)));
+}
