Broadcast all rows that are newer, also those whose values have not changed

What callers would see: a change that came back older at daemons which do not lead (CONFIG, "came back older").

Cause: a leader broadcast only rows whose values had changed for itself, with the version up to which the peers then count everything as known. A row that went from one value to another and back while the leader's calls were cut was left out, so that a peer kept the row's old version below a version that it counted as known. A late copy with the value in between was newer than that, and was taken.

Change: a broadcast holds all rows after the version, as an answer to a request does.

--- a/src/goldcrestcleat/fleet/SharedTables.cpp
+++ b/src/goldcrestcleat/fleet/SharedTables.cpp
@@ -27,8 +27,9 @@
 void SharedTables::add(store::TableWatcher& watcher)
 {
     tables_[watcher.table()].watcher = &watcher;
-    watcher.onStoreChanges = [this, table = watcher.table()](std::uint64_t afterVersion,
-                                 const store::RowChanges& changes) { forwardChanges(table, afterVersion, changes); };
+    watcher.onStoreChanges = [this, &watcher](std::uint64_t afterVersion, const auto& changed) {
+        forwardChanges(tables_.at(watcher.table()), afterVersion, changed);
+    };
     watcher.onNewEra = [this] { outages_.observeRestore(loop_.now()); };
     watcher.onStoreRestored
         = [this, &watcher](std::size_t changedRows) { onStoreRestored(tables_.at(watcher.table()), changedRows); };
@@ -195,26 +196,28 @@
     outages_.observe(loop_.now(), answersSelf || answersPeer);
 }
 
+/// Sends the peers all rows that are newer than a version, also those whose values have not changed: a peer that counts
+/// a version as known must hold the versions of all rows up to it, or it takes an older copy of such a row for a newer
+/// one.
 void SharedTables::forwardChanges(
-    const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes)
+    const SharedTable& shared, std::uint64_t afterVersion, const std::vector<store::VersionedRow>& changed)
 {
-    reportRows(tables_.at(table), changes.rows.size(), routing::NO_NODE);
+    reportRows(shared, changed.size(), routing::NO_NODE);
     if (afterVersion == 0)
         return;
-    const bool wereMissed = std::any_of(changes.rows.begin(), changes.rows.end(),
+    // Rows that this daemon missed are missing at the peers too, which count their versions as known.
+    const bool wereMissed = std::any_of(changed.begin(), changed.end(),
         [afterVersion](const auto& row) { return !row.isRemoved && row.version <= afterVersion; });
-    if (wereMissed) { // the peers lack them too, but count their versions as known
-        hooks_.broadcast(MirrorRows { table, 0, tables_.at(table).watcher->mirror().changesAfter(0) });
-        return;
-    }
+    const auto& watcher = *shared.watcher;
+    const auto changes = watcher.mirror().changesAfter(wereMissed ? 0 : afterVersion);
     std::size_t bytes = 0;
     for (const auto& row : changes.rows)
         bytes += row.key.size() + row.value.size();
-    if (bytes > MAX_BROADCAST_BYTES) {
+    if (bytes > MAX_BROADCAST_BYTES && !wereMissed) {
         hooks_.sendLoads(); // the peers see the newer versions and request them
         return;
     }
-    hooks_.broadcast(MirrorRows { table, afterVersion, changes });
+    hooks_.broadcast(MirrorRows { watcher.table(), afterVersion, changes });
 }
 
 /// Announces the new era. The peers request the rows, since each of them lacks others.
--- a/src/goldcrestcleat/fleet/SharedTables.h
+++ b/src/goldcrestcleat/fleet/SharedTables.h
@@ -110,7 +110,8 @@
 
     std::size_t countLeadersBefore() const;
     void observeStore();
-    void forwardChanges(const std::string& table, std::uint64_t afterVersion, const store::RowChanges& changes);
+    void forwardChanges(
+        const SharedTable& shared, std::uint64_t afterVersion, const std::vector<store::VersionedRow>& changed);
     void setLeading(bool isLeading, std::size_t leadersBefore);
     void reportRows(const SharedTable& shared, std::size_t rows, routing::NodeKey source) const;
     void report(const std::string& event, nlohmann::json fields, routing::NodeKey source = routing::NO_NODE) const;
--- a/src/goldcrestcleat/store/TableWatcher.cpp
+++ b/src/goldcrestcleat/store/TableWatcher.cpp
@@ -258,7 +258,7 @@
         return;
     hooks_.onChange(changed);
     if (onStoreChanges)
-        onStoreChanges(afterVersion, { false, mirror_.version(), changed, mirror_.era() });
+        onStoreChanges(afterVersion, changed);
 }
 
 } // namespace goldcrestcleat::store
--- a/src/goldcrestcleat/store/TableWatcher.h
+++ b/src/goldcrestcleat/store/TableWatcher.h
@@ -50,8 +50,8 @@
     /// True if the last call was answered and the complete table was read.
     bool isCurrent() const { return isAnswering_ && mirror_.isLoaded() && !needsFullRead_; }
 
-    /// Called with changes that were read from the store, and the version that they follow.
-    std::function<void(std::uint64_t afterVersion, const RowChanges&)> onStoreChanges;
+    /// Called with rows that changed and were read from the store, and the mirror's version before.
+    std::function<void(std::uint64_t afterVersion, const std::vector<VersionedRow>& changed)> onStoreChanges;
 
     /// Called when the mirror changes to a new era of the store, before the rows that differ are passed on; may be
     /// unset.
--- a/tests/unit/shared_tables_test.cpp
+++ b/tests/unit/shared_tables_test.cpp
@@ -372,3 +372,19 @@
     f.tables.onRows(LAST, MirrorRows { "t", 0, { true, 90, { { "a", "old", 90, false } }, 1 } });
     cr_assert((f.watcher.mirror().state() == StateVersion { 2, 5 }));
 }
+
+/// Guards against a peer that counts a version as known and holds an older version of a row: it would take an even
+/// newer but outdated copy of that row for a change.
+Test(shared_tables, a_broadcast_contains_rows_that_were_written_again_with_the_same_value)
+{
+    Fixture f;
+    f.readTable();
+    f.store.take().answer(answered({ { "a", "1", 12, false }, { "b", "1", 13, false } }, 13));
+    cr_assert_eq(f.broadcasts.size(), 1);
+    const auto& rows = std::get<MirrorRows>(f.broadcasts.front());
+    cr_assert_eq(rows.changes.rows.size(), 2);
+    Fixture peer;
+    peer.readTable();
+    peer.tables.onRows(FIRST, rows);
+    cr_assert_eq(peer.watcher.mirror().rows().at("a").version, 12);
+}
