Count a complete table as new as its version when peers compare

What callers would see: a server that was removed and stays in use at daemons that do not lead.

Cause: peers compare the newest row of their copies, and a complete table counted as new as the newest row in it. A removal that a daemon knows only from a complete read, since the history was dropped or it has just started, is in no row: a peer that missed it saw nothing newer, and asked for nothing.

Change: after a complete read of a table that was not known, or of a new era, its version counts.

--- a/src/goldcrestcleat/store/TableMirror.cpp
+++ b/src/goldcrestcleat/store/TableMirror.cpp
@@ -47,7 +47,7 @@
     previous.swap(rows_);
     era_ = state.era;
     version_ = completeSince_ = state.version;
-    newestRow_ = 0;
+    newestRow_ = state.version; // missing rows may have been removed at any version up to it
     tombstones_ = 0;
     std::vector<VersionedRow> changed;
     for (const auto& row : rows) {
--- a/src/goldcrestcleat/store/TableMirror.h
+++ b/src/goldcrestcleat/store/TableMirror.h
@@ -53,7 +53,7 @@
 
     StateVersion state() const { return { era_, version_ }; }
 
-    /// Newest version of any row; copies with equal values contain the same rows.
+    /// Newest version of any row, including removed ones; copies with equal values contain the same rows.
     std::uint64_t newestRow() const { return newestRow_; }
 
     /// True once the complete table was read.
--- a/tests/unit/table_mirror_test.cpp
+++ b/tests/unit/table_mirror_test.cpp
@@ -163,3 +163,11 @@
     cr_assert_eq(changed.size(), 2);
     cr_assert((changed[0] == row("a", "y", 8)) && (changed[1] == row("b", "new", 9)));
 }
+
+/// Guards against peers that never learn of a removal that only a complete table shows.
+Test(table_mirror, a_complete_table_is_as_new_as_its_version)
+{
+    TableMirror mirror;
+    mirror.restore({ row("a", "x", 3) }, { 1, 9 });
+    cr_assert_eq(mirror.newestRow(), 9, "another row may have been removed since version 3");
+}
