--- a/tests/unit/table_views_search_test.cpp
+++ b/tests/unit/table_views_search_test.cpp
@@ -327,7 +327,7 @@
         for (std::uint64_t i = 1 + random_() % 3; i > 0; --i) {
             const std::string key(1, static_cast<char>('a' + random_() % 4));
             const std::string value = std::to_string(random_() % 2);
-            path += key + "=" + value + ", ";
+            path.append(key).append("=").append(value).append(", ");
             switch (random_() % 4) {
             case 0:
                 store.remove(key);
